--- /dev/null
+++ b/crates/agent/src/options.rs
@@ -0,0 +1,40 @@
+//! What an agent must know before it starts.
+
+use std::{net::SocketAddr, time::Duration};
+
+use egret_model::{DataCentre, HostName};
+
+/// The options of one agent.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The agent's host.
+    pub host: HostName,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Where the agent listens, as its peers reach it.
+    pub address: SocketAddr,
+    /// The platform's configuration service.
+    pub platform: SocketAddr,
+    /// Agents to ask before any host list is known.
+    pub peers: Vec<SocketAddr>,
+    /// The time between two questions to peers.
+    pub gossip: Duration,
+}
+
+impl Options {
+    /// Creates options for one host without peers, with defaults for the rest.
+    ///
+    /// # Errors
+    /// Returns `None` where a name or an address is not valid.
+    #[must_use]
+    pub fn local(host: &str, address: &str, platform: &str) -> Option<Self> {
+        Some(Self {
+            host: HostName::new(host).ok()?,
+            data_centre: DataCentre::new("local").ok()?,
+            address: address.parse().ok()?,
+            platform: platform.parse().ok()?,
+            peers: Vec::new(),
+            gossip: Duration::from_millis(1000),
+        })
+    }
+}
--- /dev/null
+++ b/crates/client/src/error.rs
@@ -0,0 +1,89 @@
+//! Why a query has no answer.
+
+use std::fmt;
+
+use egret_model::{Ran, RefusalKind};
+use egret_wire::RefusalBody;
+
+/// The result of a client's call.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// A query without an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Error {
+    code: Box<ErrorCode>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum ErrorCode {
+    Refused(RefusalBody),
+    Unreachable { may_have_run: bool },
+    Invalid(String),
+}
+
+impl Error {
+    pub(crate) fn refused(body: RefusalBody) -> Self {
+        Self { code: Box::new(ErrorCode::Refused(body)) }
+    }
+
+    pub(crate) fn unreachable(may_have_run: bool) -> Self {
+        Self { code: Box::new(ErrorCode::Unreachable { may_have_run }) }
+    }
+
+    pub(crate) fn invalid(reason: impl fmt::Display) -> Self {
+        Self { code: Box::new(ErrorCode::Invalid(reason.to_string())) }
+    }
+
+    /// Returns the refusal, where an entry refused the query.
+    #[must_use]
+    pub fn refusal(&self) -> Option<&RefusalBody> {
+        match &*self.code {
+            ErrorCode::Refused(body) => Some(body),
+            _ => None,
+        }
+    }
+
+    /// Returns the kind of the refusal.
+    #[must_use]
+    pub fn kind(&self) -> Option<RefusalKind> {
+        self.refusal().map(|body| body.kind)
+    }
+
+    /// Tells whether any target ran any part of the query.
+    #[must_use]
+    pub fn ran(&self) -> Ran {
+        match &*self.code {
+            ErrorCode::Refused(body) => body.ran,
+            ErrorCode::Unreachable { may_have_run: true } => Ran::Unknown,
+            _ => Ran::No,
+        }
+    }
+
+    /// Tells whether no entry could be reached.
+    #[must_use]
+    pub fn is_unreachable(&self) -> bool {
+        matches!(&*self.code, ErrorCode::Unreachable { .. })
+    }
+
+    /// Tells whether the query itself is wrong.
+    #[must_use]
+    pub fn is_invalid(&self) -> bool {
+        matches!(&*self.code, ErrorCode::Invalid(_))
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &*self.code {
+            ErrorCode::Refused(body) => {
+                write!(f, "refused as {} (ran: {}): {}; {}", body.kind, body.ran, body.message, body.remedy)
+            }
+            ErrorCode::Unreachable { .. } => {
+                f.write_str("no entry answered: check their addresses and the network")
+            }
+            ErrorCode::Invalid(reason) => write!(f, "the query is not valid ({reason}): correct it"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/client/src/query.rs
@@ -0,0 +1,80 @@
+//! A query before it is sent.
+
+use std::time::Duration;
+
+use egret_model::{ClassName, GroupName, ServiceName};
+use egret_wire::QueryRequest;
+use serde_json::value::RawValue;
+
+use crate::{Error, Result};
+
+/// A query with its terms.
+#[derive(Clone, Debug)]
+pub struct Query {
+    pub(crate) request: QueryRequest,
+}
+
+impl Query {
+    /// Asks all services of a group.
+    ///
+    /// # Errors
+    /// Fails where a name is not valid or the body is not JSON.
+    pub fn group(group: &str, class: &str, body: &str) -> Result<Self> {
+        let mut query = Self::new(class, body)?;
+        query.request.group = Some(GroupName::new(group).map_err(Error::invalid)?);
+        Ok(query)
+    }
+
+    /// Asks one service.
+    ///
+    /// # Errors
+    /// Fails where a name is not valid or the body is not JSON.
+    pub fn service(service: &str, class: &str, body: &str) -> Result<Self> {
+        let mut query = Self::new(class, body)?;
+        query.request.services.push(ServiceName::new(service).map_err(Error::invalid)?);
+        Ok(query)
+    }
+
+    /// Sets the time budget; coming back counts against it too.
+    #[must_use]
+    pub fn budget(mut self, budget: Duration) -> Self {
+        self.request.budget_ms = Some(u32::try_from(budget.as_millis()).unwrap_or(u32::MAX));
+        self
+    }
+
+    /// Sets the least share of shards that makes an answer.
+    #[must_use]
+    pub fn min_coverage(mut self, share: f64) -> Self {
+        self.request.min_coverage = Some(share);
+        self
+    }
+
+    /// Marks the query as one that must run at most once.
+    #[must_use]
+    pub fn non_idempotent(mut self) -> Self {
+        self.request.idempotent = false;
+        self
+    }
+
+    /// Uses a ticket that was fetched before.
+    #[must_use]
+    pub fn ticket(mut self, ticket: impl Into<String>) -> Self {
+        self.request.ticket = Some(ticket.into());
+        self
+    }
+
+    fn new(class: &str, body: &str) -> Result<Self> {
+        let request = QueryRequest {
+            group: None,
+            services: Vec::new(),
+            shards: Vec::new(),
+            class: ClassName::new(class).map_err(Error::invalid)?,
+            body: RawValue::from_string(body.to_owned()).map_err(Error::invalid)?,
+            budget_ms: None,
+            min_coverage: None,
+            idempotent: true,
+            ticket: None,
+        };
+        Ok(Self { request })
+    }
+}
--- /dev/null
+++ b/crates/conf/src/collect.rs
@@ -0,0 +1,49 @@
+//! Joining declarations into one configuration.
+
+use std::sync::Arc;
+
+use egret_model::Version;
+
+use crate::{Config, Problem, Problems, Service, check::Checker};
+
+/// One declaration file, read.
+#[derive(Clone, Debug)]
+pub struct Source {
+    pub(crate) file: String,
+    pub(crate) text: String,
+}
+
+impl Source {
+    /// Names a file and gives its text.
+    #[must_use]
+    pub fn new(file: impl Into<String>, text: impl Into<String>) -> Self {
+        Self { file: file.into(), text: text.into() }
+    }
+}
+
+/// Checks all declarations and joins them into one configuration.
+///
+/// # Errors
+/// Returns every problem of every file, sorted by file and line.
+pub fn collect(version: Version, sources: &[Source]) -> Result<Config, Problems> {
+    let mut problems: Vec<Problem> = Vec::new();
+    let mut services: Vec<(Arc<Service>, &Source)> = Vec::new();
+    for source in sources {
+        let mut checker = Checker::new(source);
+        if let Some(service) = checker.check() {
+            match services.iter().find(|(other, _)| other.name == service.name) {
+                Some((_, first)) => {
+                    let message = format!("service {} is declared in {} too", service.name, first.file);
+                    checker.problem(0..0, message, "remove one of the declarations");
+                }
+                None => services.push((Arc::new(service), source)),
+            }
+        }
+        problems.append(&mut checker.problems);
+    }
+    if problems.is_empty() {
+        return Ok(Config::new(version, services.into_iter().map(|(service, _)| service).collect()));
+    }
+    problems.sort();
+    Err(Problems { list: problems })
+}
--- /dev/null
+++ b/crates/conf/src/config.rs
@@ -0,0 +1,152 @@
+//! The collected configuration, immutable once built.
+
+use std::sync::Arc;
+
+use derive_more::{Display, Error};
+use egret_model::{GroupName, ServiceName, Version, record};
+
+use crate::{Change, Hash, Manifest, ManifestEntry, Service};
+
+/// One version of the whole configuration.
+///
+/// Clones share the services, so that a reader keeps its version while a newer one arrives.
+#[derive(Clone, Debug, Default)]
+pub struct Config {
+    version: Version,
+    services: Vec<Arc<Service>>,
+    root: Hash,
+}
+
+impl Config {
+    /// Builds a configuration from checked services.
+    #[must_use]
+    pub fn new(version: Version, mut services: Vec<Arc<Service>>) -> Self {
+        services.sort_by(|a, b| a.name.cmp(&b.name));
+        let mut config = Self { version, services, root: Hash::default() };
+        config.root = config.manifest().root();
+        config
+    }
+
+    /// Returns the version.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Returns the hash over all services.
+    #[must_use]
+    pub fn root(&self) -> Hash {
+        self.root
+    }
+
+    /// Returns all services, sorted by name.
+    #[must_use]
+    pub fn services(&self) -> &[Arc<Service>] {
+        &self.services
+    }
+
+    /// Finds a service.
+    #[must_use]
+    pub fn service(&self, name: &ServiceName) -> Option<&Arc<Service>> {
+        let at = self.services.binary_search_by(|service| service.name.cmp(name)).ok()?;
+        Some(&self.services[at])
+    }
+
+    /// Lists the services of a group, sorted by name.
+    pub fn group(&self, name: &GroupName) -> impl Iterator<Item = &Arc<Service>> {
+        self.services.iter().filter(move |service| service.group == *name)
+    }
+
+    /// Returns the list of services with their content hashes.
+    #[must_use]
+    pub fn manifest(&self) -> Manifest {
+        let entries = self
+            .services
+            .iter()
+            .map(|service| ManifestEntry { service: service.name.clone(), hash: service.hash() })
+            .collect();
+        Manifest { version: self.version, entries }
+    }
+
+    /// Returns what changes from an older configuration to this one.
+    #[must_use]
+    pub fn change_from(&self, older: &Self) -> Change {
+        let old = older.manifest().entries;
+        let new = self.manifest().entries;
+        let set = new.iter().filter(|entry| old.binary_search(entry).is_err()).cloned().collect();
+        let removed = old
+            .iter()
+            .filter(|entry| self.service(&entry.service).is_none())
+            .map(|entry| entry.service.clone())
+            .collect();
+        Change { version: self.version, from: older.version, root: self.root, set, removed }
+    }
+
+    /// Describes the difference to an older configuration, service by service.
+    #[must_use]
+    pub fn difference(&self, older: &Self) -> Difference {
+        let change = self.change_from(older);
+        let (changed, added) =
+            change.set.into_iter().map(|entry| entry.service).partition(|name| older.service(name).is_some());
+        Difference { from: older.version, to: self.version, added, changed, removed: change.removed }
+    }
+
+    /// Parses a collected configuration as `egret-publish` prints it.
+    ///
+    /// # Errors
+    /// Fails where the text is not a collected configuration or its hash differs.
+    pub fn from_collected(text: &str) -> Result<Self, ConfigError> {
+        let collected: Collected =
+            serde_json::from_str(text).map_err(|error| ConfigError { reason: error.to_string() })?;
+        let config = Self::new(collected.version, collected.services.into_iter().map(Arc::new).collect());
+        if config.root != collected.root {
+            return Err(ConfigError { reason: "its content does not match its hash".to_owned() });
+        }
+        Ok(config)
+    }
+
+    /// Returns the text that `egret-publish` prints.
+    ///
+    /// # Panics
+    /// Never: a checked configuration always has a JSON form.
+    #[must_use]
+    pub fn to_collected(&self) -> String {
+        let services = self.services.iter().map(|service| Service::clone(service)).collect();
+        let collected = Collected { version: self.version, root: self.root, services };
+        serde_json::to_string_pretty(&collected).expect("a checked configuration has a JSON form")
+    }
+}
+
+record! {
+    /// The collected configuration as a file.
+    pub struct Collected {
+        version: Version,
+        root: Hash,
+        services: Vec<Service>,
+    }
+}
+
+record! {
+    /// The services that differ between two versions.
+    #[derive(Eq)]
+    pub struct Difference {
+        /// The older version.
+        pub from: Version,
+        /// The newer version.
+        pub to: Version,
+        /// Services that only the newer one has.
+        pub added: Vec<ServiceName>,
+        /// Services that both have with other content.
+        pub changed: Vec<ServiceName>,
+        /// Services that only the older one has.
+        pub removed: Vec<ServiceName>,
+    }
+}
+
+/// A file that is not a collected configuration.
+#[derive(Clone, Debug, Display, Error)]
+#[display("not a collected configuration ({reason}): give a file that egret-publish wrote")]
+pub struct ConfigError {
+    #[error(not(source))]
+    reason: String,
+}
--- /dev/null
+++ b/crates/conf/src/hash.rs
@@ -0,0 +1,48 @@
+//! The hash that names a published value by its content.
+
+use std::fmt;
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error as _};
+
+const HASH_BYTES: usize = 16;
+
+/// A hash of content, 128 bits of BLAKE3.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct Hash([u8; HASH_BYTES]);
+
+impl Hash {
+    /// Hashes bytes.
+    #[must_use]
+    pub fn of(bytes: impl AsRef<[u8]>) -> Self {
+        let full = blake3::hash(bytes.as_ref());
+        let mut short = [0; HASH_BYTES];
+        short.copy_from_slice(&full.as_bytes()[..HASH_BYTES]);
+        Self(short)
+    }
+}
+
+impl fmt::Display for Hash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for Hash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl Serialize for Hash {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for Hash {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        let number = u128::from_str_radix(&text, 16).map_err(D::Error::custom)?;
+        Ok(Self(number.to_be_bytes()))
+    }
+}
--- /dev/null
+++ b/crates/conf/src/head.rs
@@ -0,0 +1,145 @@
+//! What is published besides the services: a small head and a manifest.
+//!
+//! The head carries the recent changes, so that one read tells a follower what
+//! to fetch. The manifest is read only by a follower that fell behind.
+
+use egret_model::{ServiceName, Version, record};
+
+use crate::Hash;
+
+/// Changes that a head carries; a follower further behind reads the manifest.
+pub const RECENT_CHANGES: usize = 32;
+
+record! {
+    /// A service and the hash of its published value.
+    #[derive(Eq, PartialOrd, Ord)]
+    pub struct ManifestEntry {
+        /// The service.
+        pub service: ServiceName,
+        /// The hash of its value.
+        pub hash: Hash,
+    }
+}
+
+record! {
+    /// All services of one version.
+    #[derive(Default, Eq)]
+    pub struct Manifest {
+        /// The version.
+        pub version: Version,
+        /// The services, sorted by name.
+        pub entries: Vec<ManifestEntry>,
+    }
+}
+
+impl Manifest {
+    /// Returns the hash over all entries, which identifies the content.
+    #[must_use]
+    pub fn root(&self) -> Hash {
+        let text: String =
+            self.entries.iter().map(|entry| format!("{} {}\n", entry.service, entry.hash)).collect();
+        Hash::of(text)
+    }
+
+    /// Applies the next change; returns `false` where it does not follow this version.
+    pub fn apply(&mut self, change: &Change) -> bool {
+        if change.from != self.version {
+            return false;
+        }
+        for entry in &change.set {
+            match self.entries.binary_search_by(|e| e.service.cmp(&entry.service)) {
+                Ok(at) => self.entries[at] = entry.clone(),
+                Err(at) => self.entries.insert(at, entry.clone()),
+            }
+        }
+        self.entries.retain(|entry| change.removed.binary_search(&entry.service).is_err());
+        self.version = change.version;
+        true
+    }
+}
+
+record! {
+    /// What one version changed.
+    #[derive(Eq)]
+    pub struct Change {
+        /// The version that this change makes.
+        pub version: Version,
+        /// The version that it starts from.
+        pub from: Version,
+        /// The hash over all services afterwards.
+        pub root: Hash,
+        /// Services added or changed, sorted by name.
+        pub set: Vec<ManifestEntry>,
+        /// Services removed, sorted by name.
+        pub removed: Vec<ServiceName>,
+    }
+}
+
+record! {
+    /// The newest version and the way to it from the ones before.
+    #[derive(Default, Eq)]
+    pub struct Head {
+        /// The newest version.
+        pub version: Version,
+        /// The hash over all its services.
+        pub root: Hash,
+        /// The last changes, oldest first, at most [`RECENT_CHANGES`].
+        pub recent: Vec<Change>,
+    }
+}
+
+impl Head {
+    /// Returns the head after one more change.
+    #[must_use]
+    pub fn followed_by(&self, change: Change) -> Self {
+        let mut recent = self.recent.clone();
+        let (version, root) = (change.version, change.root);
+        recent.push(change);
+        let surplus = recent.len().saturating_sub(RECENT_CHANGES);
+        recent.drain(..surplus);
+        Self { version, root, recent }
+    }
+
+    /// Returns the head with only the changes after `version`, for a peer that has it.
+    #[must_use]
+    pub fn since(&self, version: Version) -> Self {
+        let recent = self.recent.iter().filter(|change| change.version > version).cloned().collect();
+        Self { version: self.version, root: self.root, recent }
+    }
+
+    /// Returns this head with the earlier changes that `older` still has.
+    #[must_use]
+    pub fn with_history(&self, older: &Self) -> Self {
+        let first = self.recent.first().map_or(self.version, |change| change.version);
+        let mut recent: Vec<Change> =
+            older.recent.iter().filter(|change| change.version < first).cloned().collect();
+        recent.extend(self.recent.iter().cloned());
+        let surplus = recent.len().saturating_sub(RECENT_CHANGES);
+        recent.drain(..surplus);
+        Self { version: self.version, root: self.root, recent }
+    }
+
+    /// Tells whether this head goes before another one.
+    ///
+    /// Two contents under one version are ordered by hash, so that a race of two
+    /// publishers ends with the same content everywhere.
+    #[must_use]
+    pub fn supersedes(&self, version: Version, root: Hash) -> bool {
+        (self.version, self.root) > (version, root)
+    }
+
+    /// Advances a manifest to this head; returns `false` where the changes do not reach it.
+    pub fn advance(&self, manifest: &mut Manifest) -> bool {
+        let mut next = manifest.clone();
+        for change in self.recent.iter().filter(|change| change.version > manifest.version) {
+            if !next.apply(change) {
+                return false;
+            }
+        }
+        if next.version != self.version || next.root() != self.root {
+            return false;
+        }
+        *manifest = next;
+        true
+    }
+}
--- /dev/null
+++ b/crates/conf/src/lib.rs
@@ -0,0 +1,66 @@
+//! Declarations, their checks, and the collected configuration.
+//!
+//! Operators keep one declaration file beside each service's code.
+//! [`collect`] checks a set of them and joins them into one [`Config`]:
+//!
+//! ```
+//! use egret_conf::{Source, collect};
+//! use egret_model::Version;
+//!
+//! let text = r#"
+//! service = "vault-read"
+//! group = "vault-read"
+//! slots = 4
+//! connections = 240
+//!
+//! [[class]]
+//! name = "archive-pull"
+//! rank = 3
+//! time_budget_ms = 2000
+//! min_coverage = 0.9
+//!
+//! [[replica]]
+//! name = "r0"
+//! address = "127.0.0.1:7000"
+//! host = "t-0"
+//! data_centre = "seeb"
+//!
+//! [[placement]]
+//! id = 1
+//! shards = [{ name = "s0", replicas = ["r0"] }]
+//!
+//! [[snapshot]]
+//! id = 1
+//! placement = 1
+//! "#;
+//! let config = collect(Version(1), &[Source::new("vault.toml", text)]).unwrap();
+//! assert_eq!(config.services().len(), 1);
+//! ```
+//!
+//! A wrong file is told with its line and a remedy, and all errors come in one run.
+//! What is published is a [`Head`], a [`Manifest`] and a value per service, each
+//! named by its content hash; docs/DESIGN.md, "Configuration" says why.
+
+mod check;
+mod class;
+mod collect;
+mod config;
+mod declaration;
+mod hash;
+mod head;
+mod hosts;
+mod placement;
+mod problem;
+mod replica;
+mod service;
+
+pub use class::{BelowMinimum, Class};
+pub use collect::{Source, collect};
+pub use config::{Config, ConfigError, Difference};
+pub use hash::Hash;
+pub use head::{Change, Head, Manifest, ManifestEntry, RECENT_CHANGES};
+pub use hosts::{Host, HostList, HostState};
+pub use placement::{Placement, ShardPlace, Snapshot};
+pub use problem::{Problem, Problems};
+pub use replica::Replica;
+pub use service::Service;
--- /dev/null
+++ b/crates/conf/src/service.rs
@@ -0,0 +1,71 @@
+//! One checked service.
+
+use egret_model::{BlockName, ClassName, GroupName, PlacementId, ServiceName, SnapshotId, record};
+
+use crate::{Class, Hash, Placement, Replica, Snapshot};
+
+record! {
+    /// A service as its declaration gives it, checked, with every list sorted.
+    pub struct Service {
+        /// The service's name.
+        pub name: ServiceName,
+        /// The group that callers may query as a whole.
+        pub group: GroupName,
+        /// The block whose connections one relay owns together.
+        pub block: BlockName,
+        /// Requests that each replica runs at a time.
+        pub slots: u16,
+        /// Connections that each replica accepts.
+        pub connections: u16,
+        /// Extra attempts by hedging, as a percentage of sub-requests.
+        pub hedge_percent: f64,
+        /// Extra attempts by retries, as a percentage of sub-requests.
+        pub retry_percent: f64,
+        /// The classes of work, sorted by name.
+        pub classes: Vec<Class>,
+        /// The replicas, sorted by name.
+        pub replicas: Vec<Replica>,
+        /// The placements, sorted by identifier.
+        pub placements: Vec<Placement>,
+        /// The snapshots, sorted from oldest to newest.
+        pub snapshots: Vec<Snapshot>,
+    }
+}
+
+impl Service {
+    /// Finds a class of work.
+    #[must_use]
+    pub fn class(&self, name: &ClassName) -> Option<&Class> {
+        let at = self.classes.binary_search_by(|class| class.name.cmp(name)).ok()?;
+        Some(&self.classes[at])
+    }
+
+    /// Finds the placement that serves a snapshot.
+    #[must_use]
+    pub fn placement_of(&self, snapshot: SnapshotId) -> Option<&Placement> {
+        let at = self.snapshots.binary_search_by_key(&snapshot, |s| s.id).ok()?;
+        self.placement(self.snapshots[at].placement)
+    }
+
+    /// Finds a placement.
+    #[must_use]
+    pub fn placement(&self, id: PlacementId) -> Option<&Placement> {
+        let at = self.placements.binary_search_by_key(&id, |placement| placement.id).ok()?;
+        Some(&self.placements[at])
+    }
+
+    /// Returns the text that is published and hashed.
+    ///
+    /// # Panics
+    /// Never: a checked service always has a JSON form.
+    #[must_use]
+    pub fn to_value(&self) -> String {
+        serde_json::to_string(self).expect("a checked service has a JSON form")
+    }
+
+    /// Returns the hash that names the published value.
+    #[must_use]
+    pub fn hash(&self) -> Hash {
+        Hash::of(self.to_value())
+    }
+}
--- /dev/null
+++ b/crates/entry/src/caller_site.rs
@@ -0,0 +1,69 @@
+//! The interface for callers; docs/API.md describes it.
+
+use egret_model::{Refusal, RefusalKind};
+use egret_node::{BodyError, Call, Reply, Site};
+use egret_wire::{LIVE_PATH, QUERY_PATH, QueryRequest, READY_PATH, TICKET_PATH};
+
+use crate::{
+    Entry,
+    outcome::Outcome,
+    tickets::{self, Hop},
+};
+
+/// Serves callers and their balancer.
+#[derive(Debug)]
+pub struct CallerSite {
+    entry: Entry,
+}
+
+impl CallerSite {
+    pub(crate) fn new(entry: Entry) -> Self {
+        Self { entry }
+    }
+}
+
+impl Site for CallerSite {
+    async fn respond(&self, call: Call) -> Reply {
+        match (call.method.as_str(), call.path.as_str()) {
+            ("POST", QUERY_PATH) => query(&self.entry, &call.body, Hop::Caller).await,
+            ("POST", TICKET_PATH) => Reply::json(200, &self.entry.tickets().mint()),
+            ("GET", LIVE_PATH | READY_PATH) => {
+                self.entry.ops().respond(&call).unwrap_or_else(Reply::not_found)
+            }
+            _ => refuse(Refusal::not_run(RefusalKind::NotFound, "no such path or method: see docs/API.md")),
+        }
+    }
+
+    fn bad_body(&self, error: BodyError) -> Reply {
+        let kind = match error {
+            BodyError::TooLarge => RefusalKind::TooLarge,
+            BodyError::TooSlow | BodyError::Broken => RefusalKind::BadRequest,
+        };
+        refuse(Refusal::not_run(kind, error.to_string()))
+    }
+}
+
+/// Decodes and answers a query.
+pub(crate) async fn query(entry: &Entry, body: &[u8], hop: Hop) -> Reply {
+    let request: QueryRequest = match serde_json::from_slice(body) {
+        Ok(request) => request,
+        Err(error) => {
+            return refuse(Refusal::not_run(
+                RefusalKind::BadRequest,
+                format!("the query cannot be read: {error}"),
+            ));
+        }
+    };
+    if request.idempotent && request.ticket.is_some() {
+        let message = "an idempotent request takes no ticket: remove it, or set idempotent to false";
+        return refuse(Refusal::not_run(RefusalKind::BadRequest, message));
+    }
+    if request.idempotent {
+        return entry.run(&request).await.reply();
+    }
+    tickets::answer(entry, request, hop).await
+}
+
+fn refuse(refusal: Refusal) -> Reply {
+    Outcome::refuse(refusal).reply()
+}
--- /dev/null
+++ b/crates/entry/src/entry.rs
@@ -0,0 +1,320 @@
+//! The entry's state and the way of one query.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use egret_events::{Code, Journal};
+use egret_model::{
+    Fingerprint, Incarnation, MissCause, QueryId, Ran, Refusal, RefusalKind, ServiceName, SnapshotShards,
+};
+use egret_node::{ExchangeError, Follower, HttpClient, Ops, View, new_incarnation, new_query_id};
+use egret_policy::{PauseDetector, RelayHealth, Suspects};
+use egret_wire::{QueryRequest, READY_PATH};
+use tokio::runtime::Handle;
+
+use crate::{
+    CallerSite, InternalSite, Options,
+    gather::{Gathered, Gatherer},
+    instruments::Instruments,
+    observed::Observed,
+    outcome::{Outcome, decide},
+    plan::{Plan, plan},
+    tickets::{Tickets, open_book},
+};
+
+const TICK: Duration = Duration::from_millis(100);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+const IDLE_CONNECTIONS: usize = 256;
+const PLANS_MAX: usize = 3;
+const NOT_READY_RETRY_AFTER_MS: u64 = 1000;
+
+/// A running entry; clones share it.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    options: Options,
+    incarnation: Incarnation,
+    follower: Follower,
+    ops: Ops,
+    instruments: Instruments,
+    client: HttpClient,
+    tickets: Tickets,
+    observed: Mutex<Observed>,
+    relays: Mutex<RelayHealth>,
+    suspects: Mutex<Suspects>,
+}
+
+impl Entry {
+    /// Starts an entry: control on the current runtime, probes on `traffic`.
+    #[must_use]
+    pub fn spawn(options: Options, follower: Follower, journal: Journal, traffic: Handle) -> Self {
+        let ops = Ops::new(journal);
+        let instruments = Instruments::open(&ops.metrics);
+        let incarnation = new_incarnation();
+        let inner = Inner {
+            tickets: Tickets::open(open_book(&options, incarnation, now())),
+            options,
+            incarnation,
+            follower,
+            ops,
+            instruments,
+            client: HttpClient::open(IDLE_CONNECTIONS),
+            observed: Mutex::default(),
+            relays: Mutex::default(),
+            suspects: Mutex::default(),
+        };
+        let entry = Self { inner: Arc::new(inner) };
+        tokio::spawn(entry.clone().follow());
+        tokio::spawn(entry.clone().tick(traffic));
+        entry
+    }
+
+    /// Returns the site for callers.
+    #[must_use]
+    pub fn caller_site(&self) -> CallerSite {
+        CallerSite::new(self.clone())
+    }
+
+    /// Returns the site for other processes and operators.
+    #[must_use]
+    pub fn internal_site(&self) -> InternalSite {
+        InternalSite::new(self.clone())
+    }
+
+    /// Returns the operators' side.
+    #[must_use]
+    pub fn ops(&self) -> &Ops {
+        &self.inner.ops
+    }
+
+    /// Runs a query to its end.
+    pub(crate) async fn run(&self, request: &QueryRequest) -> Outcome {
+        let started = now();
+        let query = new_query_id();
+        self.journal().record(Code::QueryAccepted, query, request.class.to_string());
+        let outcome = match self.run_plans(query, request, started).await {
+            Ok((plan, gathered)) => {
+                self.learn(plan.fingerprint, gathered.breaks);
+                self.count(&gathered);
+                decide(&plan, gathered)
+            }
+            Err(refusal) => Outcome::refuse(refusal),
+        };
+        let elapsed = now().saturating_duration_since(started);
+        self.inner.instruments.latency_ms.record(elapsed.as_secs_f64() * 1000.0, &[]);
+        self.note(query, &outcome);
+        outcome
+    }
+
+    /// Plans and gathers; a snapshot that turns out not to be held is left for another.
+    async fn run_plans(
+        &self,
+        query: QueryId,
+        request: &QueryRequest,
+        started: Instant,
+    ) -> Result<(Plan, Gathered), Refusal> {
+        if !self.inner.follower.is_ready() {
+            let refusal = Refusal::not_run(RefusalKind::NotReady, "no configuration is in force yet");
+            return Err(refusal.retry_after_ms(NOT_READY_RETRY_AFTER_MS));
+        }
+        let view = self.inner.follower.view();
+        let mut plan = self.plan(&view, query, request, started)?;
+        self.refuse_poison(plan.fingerprint)?;
+        let (mut attempts, mut needed, mut ran) = (0, 0, Ran::No);
+        for number in 1.. {
+            let mut gathered = Gatherer::new(self, Arc::clone(&view), &plan).gather().await;
+            attempts += gathered.attempts;
+            needed = needed.max(gathered.needed);
+            ran = ran.and(gathered.ran);
+            (gathered.attempts, gathered.needed, gathered.ran) = (attempts, needed, ran);
+            let may_replan = number < PLANS_MAX && (request.idempotent || ran == Ran::No);
+            if !may_replan || !misses_snapshot(&gathered) || now() >= plan.deadline {
+                return Ok((plan, gathered));
+            }
+            let next = self.plan(&view, query, request, started)?;
+            if next.snapshot == plan.snapshot {
+                return Ok((plan, gathered));
+            }
+            let detail = format!("from snapshot {} to {}", plan.snapshot, next.snapshot);
+            self.journal().record(Code::QueryReplanned, query, detail);
+            plan = next;
+        }
+        unreachable!("the last plan returns")
+    }
+
+    fn plan(
+        &self,
+        view: &View,
+        query: QueryId,
+        request: &QueryRequest,
+        started: Instant,
+    ) -> Result<Plan, Refusal> {
+        plan(view, &self.observed(), &self.inner.options, started, query, request)
+    }
+
+    fn refuse_poison(&self, fingerprint: Fingerprint) -> Result<(), Refusal> {
+        let suspects = self.suspects();
+        if !suspects.is_poison(now(), fingerprint) {
+            return Ok(());
+        }
+        let message = "the request broke the targets that ran it";
+        let lasts = suspects.lasts(now(), fingerprint).as_millis() as u64;
+        Err(Refusal::not_run(RefusalKind::Poison, message).retry_after_ms(lasts))
+    }
+
+    fn count(&self, gathered: &Gathered) {
+        let instruments = &self.inner.instruments;
+        instruments.attempts.add(u64::from(gathered.attempts), &[]);
+        instruments.needed.add(u64::from(gathered.needed), &[]);
+        instruments.covered.add(gathered.coverage.covered().len() as u64, &[]);
+        instruments.missing.add(gathered.coverage.missing().len() as u64, &[]);
+    }
+
+    fn note(&self, query: QueryId, outcome: &Outcome) {
+        match outcome {
+            Outcome::Answer(answer) => {
+                self.inner.instruments.answers.add(1, &[]);
+                let detail = format!("coverage {:.3}, snapshot {}", answer.coverage, answer.snapshot);
+                self.journal().record(Code::QueryAnswered, query, detail);
+            }
+            Outcome::Refusal(body) => {
+                self.inner.instruments.refusal(body.kind);
+                self.journal().record(Code::QueryRefused, query, format!("{}, ran {}", body.kind, body.ran));
+            }
+        }
+    }
+
+    pub(crate) fn options(&self) -> &Options {
+        &self.inner.options
+    }
+
+    pub(crate) fn journal(&self) -> &Journal {
+        &self.inner.ops.journal
+    }
+
+    pub(crate) fn instruments(&self) -> &Instruments {
+        &self.inner.instruments
+    }
+
+    pub(crate) fn client(&self) -> &HttpClient {
+        &self.inner.client
+    }
+
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        self.inner.incarnation
+    }
+
+    pub(crate) fn tickets(&self) -> &Tickets {
+        &self.inner.tickets
+    }
+
+    pub(crate) fn is_known_entry(&self, address: SocketAddr) -> bool {
+        self.inner.follower.view().hosts.hosts.iter().any(|host| host.entry == Some(address))
+    }
+
+    pub(crate) fn is_relay_up(&self, relay: SocketAddr) -> bool {
+        self.relays().is_up(relay)
+    }
+
+    pub(crate) fn relay_answered(&self, relay: SocketAddr, leaving: bool) {
+        let mut relays = self.relays();
+        if leaving {
+            relays.failed(now(), relay);
+        } else if relays.answered(relay) {
+            drop(relays);
+            self.journal().record(Code::RelayUp, None, relay.to_string());
+        }
+    }
+
+    pub(crate) fn relay_failed(&self, relay: SocketAddr, error: &ExchangeError) {
+        if self.relays().failed(now(), relay) {
+            self.journal().record(Code::RelayDown, None, error.to_string());
+        }
+    }
+
+    pub(crate) fn observe(&self, service: &ServiceName, held: Vec<SnapshotShards>) {
+        self.observed().learn(now(), service, held);
+    }
+
+    pub(crate) fn breaks(&self, fingerprint: Fingerprint) -> u8 {
+        self.suspects().breaks(now(), fingerprint)
+    }
+
+    fn learn(&self, fingerprint: Fingerprint, breaks: u8) {
+        if breaks > 0 {
+            self.suspects().learn(now(), fingerprint, breaks);
+        }
+    }
+
+    fn observed(&self) -> MutexGuard<'_, Observed> {
+        self.inner.observed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn relays(&self) -> MutexGuard<'_, RelayHealth> {
+        self.inner.relays.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn suspects(&self) -> MutexGuard<'_, Suspects> {
+        self.inner.suspects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn follow(self) {
+        let mut follower = self.inner.follower.clone();
+        if follower.is_ready() {
+            self.configure(&follower.view());
+        }
+        loop {
+            let view = follower.changed().await;
+            self.configure(&view);
+        }
+    }
+
+    fn configure(&self, view: &View) {
+        let mut relays: Vec<SocketAddr> = view.hosts.hosts.iter().filter_map(|host| host.relay).collect();
+        relays.sort_unstable();
+        self.relays().retain(&relays);
+        self.observed().retain(|service| view.config.service(service).is_some());
+        self.inner.instruments.version.record(view.config.version().0, &[]);
+        self.inner.ops.set_ready(true);
+    }
+
+    /// Probes relays that failed, and notices pauses.
+    async fn tick(self, traffic: Handle) {
+        let mut pauses = PauseDetector::new(now(), TICK);
+        loop {
+            tokio::time::sleep(TICK).await;
+            if let Some(pause) = pauses.tick(now()) {
+                self.journal().record(Code::Paused, None, format!("{} ms", pause.as_millis()));
+            }
+            let due = self.relays().to_probe(now());
+            for relay in due {
+                self.relays().failed(now(), relay);
+                let entry = self.clone();
+                traffic.spawn(async move { entry.probe(relay).await });
+            }
+        }
+    }
+
+    async fn probe(&self, relay: SocketAddr) {
+        let answer = self.inner.client.get(relay, READY_PATH, PROBE_TIMEOUT).await;
+        if answer.is_ok_and(|exchange| exchange.status == 200) {
+            self.relay_answered(relay, false);
+        }
+    }
+}
+
+fn misses_snapshot(gathered: &Gathered) -> bool {
+    gathered.coverage.missing().iter().any(|missing| missing.cause == MissCause::Snapshot)
+}
+
+/// Returns the time of the runtime's clock, which tests pause and advance.
+pub(crate) fn now() -> Instant {
+    tokio::time::Instant::now().into_std()
+}
--- /dev/null
+++ b/crates/entry/src/internal_site.rs
@@ -0,0 +1,30 @@
+//! The interface for other entries and operators.
+
+use egret_node::{Call, Reply, Site};
+use egret_wire::FORWARD_PATH;
+
+use crate::{Entry, caller_site::query, tickets::Hop};
+
+/// Serves requests that other entries pass on, and operators.
+#[derive(Debug)]
+pub struct InternalSite {
+    entry: Entry,
+}
+
+impl InternalSite {
+    pub(crate) fn new(entry: Entry) -> Self {
+        Self { entry }
+    }
+}
+
+impl Site for InternalSite {
+    async fn respond(&self, call: Call) -> Reply {
+        if let Some(reply) = self.entry.ops().respond(&call) {
+            return reply;
+        }
+        match call.path.as_str() {
+            FORWARD_PATH => query(&self.entry, &call.body, Hop::Entry).await,
+            _ => Reply::not_found(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/options.rs
@@ -0,0 +1,41 @@
+//! What an entry must know before it starts.
+
+use std::{net::SocketAddr, time::Duration};
+
+const TICKET_LIFETIME: Duration = Duration::from_secs(120);
+const TICKETS_MAX: usize = 100_000;
+const TICKET_ANSWERS_MAX: usize = 4096;
+const SHARDS_MAX: usize = 10_000;
+const BUDGET_MAX: Duration = Duration::from_secs(60);
+
+/// The options of one entry.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Where the entry listens for other processes of the system.
+    pub internal: SocketAddr,
+    /// For how long a ticket is valid.
+    pub ticket_lifetime: Duration,
+    /// Used tickets that are remembered; more non-idempotent work is refused.
+    pub tickets_max: usize,
+    /// Answers of tickets that are remembered.
+    pub ticket_answers_max: usize,
+    /// Shards that one query may ask.
+    pub shards_max: usize,
+    /// The longest time budget.
+    pub budget_max: Duration,
+}
+
+impl Options {
+    /// Creates options with defaults for all but the address.
+    #[must_use]
+    pub fn new(internal: SocketAddr) -> Self {
+        Self {
+            internal,
+            ticket_lifetime: TICKET_LIFETIME,
+            tickets_max: TICKETS_MAX,
+            ticket_answers_max: TICKET_ANSWERS_MAX,
+            shards_max: SHARDS_MAX,
+            budget_max: BUDGET_MAX,
+        }
+    }
+}
--- /dev/null
+++ b/crates/events/src/code.rs
@@ -0,0 +1,132 @@
+//! The numbers of all events.
+
+use std::fmt;
+
+use egret_model::record;
+
+macro_rules! codes {
+    ($($(#[$meta:meta])* $name:ident = $number:literal, $text:literal;)+) => {
+        record! {
+            /// The number of an event; docs/EVENTS.md explains each.
+            pub enum Code { $($(#[$meta])* $name = $number,)+ }
+        }
+
+        impl Code {
+            /// Returns all codes in the order of their numbers.
+            #[must_use]
+            pub fn all() -> &'static [Self] {
+                &[$(Self::$name,)+]
+            }
+
+            /// Returns the short text of the event.
+            #[must_use]
+            pub fn text(self) -> &'static str {
+                match self { $(Self::$name => $text,)+ }
+            }
+        }
+    };
+}
+
+codes! {
+    /// A daemon listens.
+    Started = 100, "started";
+    /// A daemon received the signal to stop.
+    Stopping = 101, "stopping";
+    /// A daemon finished its work in flight.
+    Stopped = 102, "stopped";
+    /// The control thread was not run for a long time.
+    Paused = 103, "control thread was paused";
+    /// A newer configuration is in force.
+    ConfigInForce = 200, "configuration in force";
+    /// An older configuration was offered and ignored.
+    ConfigOlderIgnored = 201, "older configuration ignored";
+    /// The platform did not answer.
+    PlatformUnreachable = 202, "platform unreachable";
+    /// A newer host list is in force.
+    HostsInForce = 203, "host list in force";
+    /// A published value does not match its hash or cannot be read.
+    ConfigBroken = 204, "published value is broken";
+    /// The agent has its first configuration.
+    AgentReady = 205, "agent ready";
+    /// A query was accepted.
+    QueryAccepted = 300, "query accepted";
+    /// A query was answered.
+    QueryAnswered = 301, "query answered";
+    /// A query was refused.
+    QueryRefused = 302, "query refused";
+    /// A part of a query was sent to a relay.
+    ScatterSent = 303, "sent to relay";
+    /// A relay did not answer in time or cannot be reached.
+    RelayDown = 304, "relay down";
+    /// A relay answers again.
+    RelayUp = 305, "relay up";
+    /// A query was planned again on another snapshot.
+    QueryReplanned = 306, "planned again";
+    /// A request with a ticket went to the entry that minted it.
+    TicketForwarded = 307, "ticket forwarded";
+    /// A reply did not belong to a pending request and was dropped.
+    ForeignReply = 308, "foreign reply dropped";
+    /// A relay received a part of a query.
+    ScatterReceived = 400, "received by relay";
+    /// A sub-request was sent to a target.
+    TargetSent = 401, "sent to target";
+    /// A target answered.
+    TargetReplied = 402, "target replied";
+    /// A target refused or failed.
+    TargetFailed = 403, "target failed";
+    /// A second copy of a sub-request was sent.
+    HedgeSent = 404, "hedge sent";
+    /// A sub-request was sent again after a failure.
+    RetrySent = 405, "retry sent";
+    /// A sub-request was cancelled at its target.
+    TargetCancelled = 406, "cancelled at target";
+    /// A relay answered a part of a query.
+    ScatterReplied = 407, "relay replied";
+    /// A replica takes work.
+    ReplicaReady = 410, "replica ready";
+    /// A replica leaves and takes no new work.
+    ReplicaLeaving = 411, "replica leaving";
+    /// A replica does not answer.
+    ReplicaDown = 412, "replica down";
+    /// A replica is too slow or fails and is left out for a while.
+    ReplicaEjected = 413, "replica ejected";
+    /// A request broke a connection while a target ran it.
+    SuspectMarked = 420, "request marked";
+}
+
+impl Code {
+    /// Returns the number.
+    #[must_use]
+    pub fn number(self) -> u16 {
+        self as u16
+    }
+
+    /// Tells whether operators should look at the event.
+    #[must_use]
+    pub fn is_warning(self) -> bool {
+        matches!(
+            self,
+            Self::Paused
+                | Self::ConfigOlderIgnored
+                | Self::PlatformUnreachable
+                | Self::ConfigBroken
+                | Self::RelayDown
+                | Self::ForeignReply
+                | Self::ReplicaDown
+                | Self::ReplicaEjected
+                | Self::SuspectMarked
+        )
+    }
+
+    /// Tells whether the event belongs to a single query and is frequent.
+    #[must_use]
+    pub fn is_per_query(self) -> bool {
+        matches!(self.number(), 300..=303 | 306..=308 | 400..=407)
+    }
+}
+
+impl fmt::Display for Code {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "E{}", self.number())
+    }
+}
--- /dev/null
+++ b/crates/events/src/lib.rs
@@ -0,0 +1,36 @@
+//! Numbered events, their causal order and the merged time line.
+//!
+//! Each process keeps its last events in a [`Journal`]. Messages between
+//! processes carry a [`Stamp`], so that an effect is always stamped later than
+//! its cause, however wrong the clocks of the hosts are.
+//!
+//! ```
+//! use egret_events::{Clock, Code, Journal, merge};
+//!
+//! let entry = Journal::new("entry@a", Clock::with_source(|| 500));
+//! // This host's clock is far behind.
+//! let relay = Journal::new("relay@b", Clock::with_source(|| 3));
+//!
+//! let sent = entry.record(Code::ScatterSent, None, "to relay@b");
+//! relay.clock().observe(sent);
+//! relay.record(Code::ScatterReceived, None, "from entry@a");
+//!
+//! let line = merge([relay.events(), entry.events()]);
+//! assert_eq!(line[0].process, "entry@a");
+//! ```
+//!
+//! docs/EVENTS.md lists every number; a test holds it against [`Code::all`].
+
+mod clock;
+mod code;
+mod event;
+mod journal;
+mod stamp;
+mod timeline;
+
+pub use clock::Clock;
+pub use code::Code;
+pub use event::Event;
+pub use journal::{JOURNAL_EVENTS, Journal};
+pub use stamp::Stamp;
+pub use timeline::{Filter, merge};
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,55 @@
+//! What every daemon shares: threads, logs, metrics, HTTP.
+//!
+//! [`run`] starts a daemon: its control state lives on the calling thread, and
+//! traffic runs on others. A daemon serves a [`Site`]:
+//!
+//! ```no_run
+//! use egret_node::{Call, HttpLimits, HttpServer, Reply, Site, run};
+//!
+//! struct Hello;
+//!
+//! impl Site for Hello {
+//!     async fn respond(&self, call: Call) -> Reply {
+//!         Reply::text(200, format!("you asked for {}", call.path))
+//!     }
+//! }
+//!
+//! run(2, async |traffic| {
+//!     let address = "127.0.0.1:8080".parse().unwrap();
+//!     let server = HttpServer::bind(&traffic, address, HttpLimits::default(), Hello).await.unwrap();
+//!     egret_node::stop_signal().await;
+//!     server.stop(std::time::Duration::from_secs(5)).await;
+//!     std::process::ExitCode::SUCCESS
+//! });
+//! ```
+//!
+//! A [`Follower`] keeps a daemon's [`View`] of configuration and hosts; traffic
+//! reads it without waiting. The threads are described in docs/DESIGN.md.
+
+mod call;
+mod client;
+mod error;
+mod follower;
+mod http;
+mod logs;
+mod metrics;
+mod ops;
+mod random;
+mod reply;
+mod signal;
+mod threads;
+mod view;
+
+pub use call::{BodyError, Call};
+pub use client::{Exchange, ExchangeError, HttpClient};
+pub use error::NodeError;
+pub use follower::Follower;
+pub use http::{HttpLimits, HttpServer, Site};
+pub use logs::{LogFormat, init_logs};
+pub use metrics::{Metrics, label};
+pub use ops::Ops;
+pub use random::{new_incarnation, new_key, new_query_id};
+pub use reply::Reply;
+pub use signal::stop_signal;
+pub use threads::run;
+pub use view::{Block, View};
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,63 @@
+//! Pure decisions: admission, slots, replica choice, hedging, tickets.
+//!
+//! Nothing here does I/O or reads a clock; every function that depends on time
+//! takes it as an argument. A daemon asks, acts, and reports what happened:
+//!
+//! ```
+//! use std::time::{Duration, Instant};
+//! use egret_policy::{Dispatcher, Finish, Limits, Offer, Phase, Report, Work, WorkId};
+//!
+//! let now = Instant::now();
+//! let target = "127.0.0.1:7000".parse().unwrap();
+//! let mut dispatcher = Dispatcher::new(Limits { slots: 1, ..Limits::default() });
+//! dispatcher.set_replicas(now, &[target]);
+//! dispatcher.report(now, target, Report { phase: Phase::Ready, ..Report::default() });
+//!
+//! let work = |id| Work {
+//!     id: WorkId(id),
+//!     rank: 1,
+//!     deadline: now + Duration::from_millis(74),
+//!     replicas: vec![target],
+//!     suspect: false,
+//! };
+//! assert_eq!(dispatcher.offer(now, work(1)).offer, Offer::Start(target));
+//! assert_eq!(dispatcher.offer(now, work(2)).offer, Offer::Queued);
+//! let decisions = dispatcher.finish(now, target, Finish::Answered(Duration::from_millis(5)));
+//! assert_eq!(decisions.len(), 1); // the queued work starts
+//! ```
+//!
+//! - [`Dispatcher`]: slots, queue, replica choice, ejection and hedging of one service.
+//! - [`TicketBook`]: at-most-once execution of non-idempotent requests.
+//! - [`Suspects`]: requests that break the targets that run them.
+//! - [`candidates`]: the relays that may own a block's connections.
+//! - [`choose_snapshot`]: the one snapshot that a query is drawn from.
+//! - [`RelayHealth`], [`PauseDetector`]: what a process believes after silence.
+//!
+//! docs/DESIGN.md says for each what was weighed.
+
+mod dispatcher;
+mod latency;
+mod owner;
+mod pause;
+mod queue;
+mod relay_health;
+mod replica;
+mod snapshot;
+mod suspects;
+mod ticket;
+mod ticket_book;
+mod token_bucket;
+mod work;
+
+pub use dispatcher::{Dispatcher, Limits};
+pub use latency::LatencyWindow;
+pub use owner::{CANDIDATES, RelayHost, candidates};
+pub use pause::PauseDetector;
+pub use relay_health::RelayHealth;
+pub use replica::{CONFIRMED_FOR, Held, Phase, Report};
+pub use snapshot::{ServiceSnapshots, choose_snapshot};
+pub use suspects::{MARK_LASTS, POISON_BREAKS, SHARED_MARK_LASTS, Suspects};
+pub use ticket::{Ticket, TicketError};
+pub use ticket_book::{Claim, TicketBook};
+pub use token_bucket::TokenBucket;
+pub use work::{Decision, Finish, Offer, Offered, Refused, Work, WorkId};
--- /dev/null
+++ b/crates/policy/src/queue.rs
@@ -0,0 +1,78 @@
+//! Work that waits for a slot, in the order in which it will be served.
+
+use crate::{Work, WorkId};
+
+/// Every so many contended starts, one goes to the last class.
+const RESERVED_EVERY: u32 = 16;
+
+/// A queue ordered by class rank, then deadline, then arrival.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct WorkQueue {
+    waiting: Vec<Work>,
+    starts: u32,
+}
+
+impl WorkQueue {
+    pub(crate) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Returns how many waiting pieces of work go before this one.
+    pub(crate) fn position(&self, work: &Work) -> usize {
+        self.waiting.partition_point(|other| order(other) < order(work))
+    }
+
+    pub(crate) fn insert(&mut self, work: Work) -> usize {
+        let at = self.position(&work);
+        self.waiting.insert(at, work);
+        at
+    }
+
+    pub(crate) fn remove(&mut self, id: WorkId) -> Option<Work> {
+        let at = self.waiting.iter().position(|work| work.id == id)?;
+        Some(self.waiting.remove(at))
+    }
+
+    pub(crate) fn pop_last(&mut self) -> Option<Work> {
+        self.waiting.pop()
+    }
+
+    /// Takes the next work that `can_run` allows.
+    ///
+    /// Classes are served in strict order, but for a small share that goes to
+    /// the last class, so that it makes progress under lasting overload.
+    pub(crate) fn take(&mut self, can_run: impl Fn(&Work) -> bool) -> Option<Work> {
+        let first = self.waiting.iter().position(&can_run)?;
+        self.starts = self.starts.wrapping_add(1);
+        let at = if self.starts.is_multiple_of(RESERVED_EVERY) {
+            self.first_of_last_rank(&can_run)
+        } else {
+            first
+        };
+        Some(self.waiting.remove(at))
+    }
+
+    /// Removes the work that `keep` rejects; it is told the position among kept work.
+    pub(crate) fn retain(&mut self, mut keep: impl FnMut(usize, &Work) -> bool) {
+        let mut position = 0;
+        self.waiting.retain(|work| {
+            let kept = keep(position, work);
+            position += usize::from(kept);
+            kept
+        });
+    }
+
+    fn first_of_last_rank(&self, can_run: impl Fn(&Work) -> bool) -> usize {
+        let last = self.waiting.iter().rposition(&can_run).unwrap_or(0);
+        let rank = self.waiting[last].rank;
+        self.waiting.iter().position(|work| work.rank == rank && can_run(work)).unwrap_or(last)
+    }
+}
+
+fn order(work: &Work) -> (u8, std::time::Instant, WorkId) {
+    (work.rank, work.deadline, work.id)
+}
--- /dev/null
+++ b/crates/policy/src/replica.rs
@@ -0,0 +1,209 @@
+//! What a relay knows of one replica.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use egret_model::{Incarnation, PlacementId, SnapshotId};
+
+use crate::{Finish, LatencyWindow};
+
+/// For how long a sign that a target takes work holds.
+///
+/// A target that leaves must receive no new work after 3 s; the difference is
+/// the time of a probe. A process that slept longer finds every sign expired.
+pub const CONFIRMED_FOR: Duration = Duration::from_millis(2000);
+
+const EJECT_AFTER_FAILURES: u32 = 3;
+const EJECT_FIRST: Duration = Duration::from_secs(1);
+const EJECT_DOUBLINGS_MAX: u32 = 4;
+const ESTIMATE_LASTS: Duration = Duration::from_secs(5);
+/// A sign of draining outlasts later reports that say otherwise, because reports mislead.
+const DRAINING_LASTS: Duration = Duration::from_secs(10);
+
+/// A replica's phase of life, as its target reports it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Phase {
+    /// Nothing is known.
+    #[default]
+    Unknown,
+    /// It loads its data.
+    Starting,
+    /// It takes work.
+    Ready,
+    /// It leaves.
+    Draining,
+}
+
+/// A snapshot that a replica holds, with its placement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Held {
+    /// The snapshot.
+    pub snapshot: SnapshotId,
+    /// The placement.
+    pub placement: PlacementId,
+}
+
+/// What a target says of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Its run.
+    pub incarnation: Option<Incarnation>,
+    /// Its phase.
+    pub phase: Phase,
+    /// The snapshots that it holds, sorted; empty means that it does not say.
+    pub held: Vec<Held>,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Replica {
+    pub(crate) address: SocketAddr,
+    pub(crate) in_flight: u16,
+    pub(crate) removed: bool,
+    pub(crate) host_leaving: bool,
+    pub(crate) report: Report,
+    pub(crate) latency: LatencyWindow,
+    pub(crate) starts: u64,
+    confirmed_at: Option<Instant>,
+    draining_at: Option<Instant>,
+    lacks: Vec<Held>,
+    measured_at: Option<Instant>,
+    failures: u32,
+    ejections: u32,
+    ejected_until: Option<Instant>,
+    warm_slots: u16,
+}
+
+impl Replica {
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            in_flight: 0,
+            removed: false,
+            host_leaving: false,
+            report: Report::default(),
+            latency: LatencyWindow::default(),
+            starts: 0,
+            confirmed_at: None,
+            draining_at: None,
+            lacks: Vec::new(),
+            measured_at: None,
+            failures: 0,
+            ejections: 0,
+            ejected_until: None,
+            warm_slots: 1,
+        }
+    }
+
+    /// Takes the target's report; a target that comes back starts with one slot.
+    pub(crate) fn take_report(&mut self, now: Instant, report: Report) {
+        let restarted = report.incarnation != self.report.incarnation;
+        if restarted || self.report.phase != Phase::Ready {
+            self.warm_slots = 1;
+        }
+        if restarted {
+            self.latency = LatencyWindow::default();
+            self.failures = 0;
+            self.ejected_until = None;
+            self.draining_at = None;
+        }
+        if report.phase == Phase::Draining {
+            self.draining_at = Some(now);
+        }
+        self.lacks.clear();
+        self.report = report;
+        self.confirmed_at = Some(now);
+    }
+
+    /// Takes the word of a reply that was requested at `asked_at`.
+    pub(crate) fn take_reply(&mut self, now: Instant, asked_at: Instant, draining: bool) {
+        if draining {
+            self.draining_at = Some(now);
+        } else if self.report.phase == Phase::Ready {
+            self.confirmed_at = self.confirmed_at.max(Some(asked_at));
+        }
+    }
+
+    /// Forgets that the target takes work, until it says so again.
+    pub(crate) fn lose(&mut self) {
+        self.report.phase = Phase::Unknown;
+        self.confirmed_at = None;
+    }
+
+    pub(crate) fn is_confirmed(&self, now: Instant, within: Duration) -> bool {
+        self.confirmed_at.is_some_and(|at| now.saturating_duration_since(at) < within)
+    }
+
+    pub(crate) fn is_live(&self, now: Instant) -> bool {
+        !self.removed
+            && !self.host_leaving
+            && !self.is_draining(now)
+            && self.report.phase == Phase::Ready
+            && self.is_confirmed(now, CONFIRMED_FOR)
+    }
+
+    pub(crate) fn is_draining(&self, now: Instant) -> bool {
+        self.draining_at.is_some_and(|at| now.saturating_duration_since(at) < DRAINING_LASTS)
+    }
+
+    pub(crate) fn holds(&self, held: Held) -> bool {
+        let listed = self.report.held.is_empty() || self.report.held.binary_search(&held).is_ok();
+        listed && !self.lacks.contains(&held)
+    }
+
+    /// Takes the target's word that it does not hold a snapshot, until its next report.
+    pub(crate) fn take_lack(&mut self, held: Held) {
+        if !self.lacks.contains(&held) {
+            self.lacks.push(held);
+        }
+    }
+
+    pub(crate) fn is_ejected(&self, now: Instant) -> bool {
+        self.ejected_until.is_some_and(|until| now < until)
+    }
+
+    pub(crate) fn has_free_slot(&self, slots: u16) -> bool {
+        self.in_flight < slots.min(self.warm_slots)
+    }
+
+    /// Returns the expected latency of one more request, for comparing replicas.
+    pub(crate) fn cost(&self, now: Instant, usual: Duration) -> Duration {
+        let fresh = self.measured_at.is_some_and(|at| now.saturating_duration_since(at) < ESTIMATE_LASTS);
+        let latency = if fresh { self.latency.mean() } else { usual };
+        latency * u32::from(self.in_flight + 1)
+    }
+
+    /// Takes the end of an attempt; returns whether the replica became ejected.
+    pub(crate) fn take_finish(&mut self, now: Instant, finish: Finish, slots: u16) -> bool {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        match finish {
+            Finish::Answered(latency) => {
+                self.latency.add(latency);
+                self.measured_at = Some(now);
+                self.failures = 0;
+                self.ejections = 0;
+                self.warm_slots = (self.warm_slots + 1).min(slots);
+            }
+            Finish::Failed => {
+                self.failures += 1;
+                if self.failures >= EJECT_AFTER_FAILURES {
+                    self.eject(now);
+                    return true;
+                }
+            }
+            Finish::Lost => self.lose(),
+            Finish::NotRun | Finish::Cancelled => {}
+        }
+        false
+    }
+
+    pub(crate) fn eject(&mut self, now: Instant) {
+        let doublings = self.ejections.min(EJECT_DOUBLINGS_MAX);
+        self.ejected_until = Some(now + EJECT_FIRST * 2_u32.pow(doublings));
+        self.ejections += 1;
+        self.failures = 0;
+        self.latency = LatencyWindow::default();
+        self.measured_at = None;
+    }
+}
--- /dev/null
+++ b/crates/policy/src/suspects.rs
@@ -0,0 +1,110 @@
+//! Requests that break the targets that run them.
+
+use std::time::{Duration, Instant};
+
+use egret_model::Fingerprint;
+
+/// Broken connections after which a request is refused.
+pub const POISON_BREAKS: u8 = 2;
+/// For how long a break is held against a request.
+pub const MARK_LASTS: Duration = Duration::from_secs(60);
+
+/// For how long a first break is held against a request that did not run alone.
+///
+/// A target that is lost takes innocent requests with it. They must not miss its
+/// other replica for long, and a request that breaks the next one too is caught then.
+pub const SHARED_MARK_LASTS: Duration = Duration::from_millis(2500);
+
+const MARKS_MAX: usize = 4096;
+
+#[derive(Clone, Copy, Debug)]
+struct Marked {
+    fingerprint: Fingerprint,
+    breaks: u8,
+    until: Instant,
+    suspect_until: Instant,
+}
+
+/// Remembers which requests broke connections while a target ran them.
+///
+/// The table is bounded; when full, the mark that would end first makes room.
+#[derive(Clone, Debug, Default)]
+pub struct Suspects {
+    marks: Vec<Marked>,
+}
+
+impl Suspects {
+    /// Returns the connections that a request is known to have broken.
+    #[must_use]
+    pub fn breaks(&self, now: Instant, fingerprint: Fingerprint) -> u8 {
+        let Ok(at) = self.find(fingerprint) else { return 0 };
+        if now < self.marks[at].until { self.marks[at].breaks } else { 0 }
+    }
+
+    /// Adds one broken connection and returns the sum.
+    ///
+    /// `alone` says that no other request ran at the target, so that this one is
+    /// the likely cause. The first break of a request that shared the target is
+    /// still remembered as a break, but makes it a suspect only for a short time.
+    pub fn mark(&mut self, now: Instant, fingerprint: Fingerprint, alone: bool) -> u8 {
+        let breaks = self.breaks(now, fingerprint).saturating_add(1);
+        self.learn(now, fingerprint, breaks);
+        if let Ok(at) = self.find(fingerprint) {
+            let shared = !alone && breaks == 1;
+            self.marks[at].suspect_until = now + if shared { SHARED_MARK_LASTS } else { MARK_LASTS };
+        }
+        breaks
+    }
+
+    /// Tells whether a request must not reach the last live replica.
+    #[must_use]
+    pub fn is_suspect(&self, now: Instant, fingerprint: Fingerprint) -> bool {
+        self.find(fingerprint).is_ok_and(|at| now < self.marks[at].suspect_until)
+    }
+
+    /// Takes in what another process knows.
+    pub fn learn(&mut self, now: Instant, fingerprint: Fingerprint, breaks: u8) {
+        if breaks <= self.breaks(now, fingerprint) {
+            return;
+        }
+        let until = now + MARK_LASTS;
+        let marked = Marked { fingerprint, breaks, until, suspect_until: until };
+        match self.find(fingerprint) {
+            Ok(at) => self.marks[at] = marked,
+            Err(_) => {
+                self.make_room(now);
+                let at = self.find(fingerprint).unwrap_or_else(|at| at);
+                self.marks.insert(at, marked);
+            }
+        }
+    }
+
+    /// Tells whether a request is refused.
+    #[must_use]
+    pub fn is_poison(&self, now: Instant, fingerprint: Fingerprint) -> bool {
+        self.breaks(now, fingerprint) >= POISON_BREAKS
+    }
+
+    /// Returns how long the mark of a request still lasts.
+    #[must_use]
+    pub fn lasts(&self, now: Instant, fingerprint: Fingerprint) -> Duration {
+        self.find(fingerprint)
+            .map_or(Duration::ZERO, |at| self.marks[at].until.saturating_duration_since(now))
+    }
+
+    fn find(&self, fingerprint: Fingerprint) -> Result<usize, usize> {
+        self.marks.binary_search_by_key(&fingerprint, |marked| marked.fingerprint)
+    }
+
+    fn make_room(&mut self, now: Instant) {
+        if self.marks.len() < MARKS_MAX {
+            return;
+        }
+        self.marks.retain(|marked| now < marked.until);
+        if self.marks.len() == MARKS_MAX
+            && let Some(at) = (0..self.marks.len()).min_by_key(|&at| self.marks[at].until)
+        {
+            self.marks.remove(at);
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/attempt.rs
@@ -0,0 +1,218 @@
+//! One exchange with one target.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration, time::Instant};
+
+use egret_events::Code;
+use egret_model::{Hit, Ran};
+use egret_node::{Exchange, ExchangeError};
+use egret_policy::{Finish, Held};
+use egret_wire::{
+    CANCEL_PATH, Cancel, NotRun, NotRunReason, SEARCH_PATH, SearchReply, SearchRequest, ShardHits,
+};
+use tokio::sync::oneshot;
+
+use crate::{
+    cell::CellContext,
+    slot::{Slot, now},
+};
+
+/// For how long a cancelled exchange may keep its slot until the target ends it.
+const CANCEL_GRACE: Duration = Duration::from_millis(500);
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Below this, an attempt that found no answer says nothing about the target.
+const FAILURE_MIN: Duration = Duration::from_millis(20);
+/// The time that a reply takes on its way back.
+const RETURN_MARGIN: Duration = Duration::from_millis(1);
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub(crate) enum AttemptEnd {
+    /// The target answered for these shards.
+    Found(Vec<ShardHits>),
+    /// The target said that it did not run it.
+    NotRun(NotRunReason),
+    /// No byte left.
+    NotSent,
+    /// The connection broke while the target may have run it.
+    Broken,
+    /// The target answered nonsense.
+    BadReply,
+    /// The time ended.
+    Deadline,
+}
+
+/// Starts an attempt; dropping the receiver cancels it.
+///
+/// The attempt runs on its own, because its slot stays taken until the target is
+/// done with it, also when nobody waits for the answer any more.
+pub(crate) fn spawn(cx: Arc<CellContext>, slot: Slot) -> oneshot::Receiver<AttemptEnd> {
+    let (tx, rx) = oneshot::channel();
+    tokio::spawn(drive(cx, slot, tx));
+    rx
+}
+
+async fn drive(cx: Arc<CellContext>, slot: Slot, mut tx: oneshot::Sender<AttemptEnd>) {
+    let started = now();
+    // The process may have slept since the slot was granted.
+    if started >= cx.deadline || !slot.service().is_live(started, slot.address()) {
+        slot.finish(Finish::Cancelled);
+        let _ = tx.send(AttemptEnd::NotSent);
+        return;
+    }
+    let address = slot.address();
+    let request = cx.search_request(started);
+    let client = cx.relay.client().clone();
+    cx.ledger.sent();
+    cx.relay.instruments().attempt();
+    cx.relay.journal().record(Code::TargetSent, cx.query, format!("{} at {address}", cx.describe()));
+    let within = cx.deadline.saturating_duration_since(started) + CANCEL_GRACE + CANCEL_TIMEOUT;
+    let exchange = client.post_json(address, SEARCH_PATH, &request, within);
+    tokio::pin!(exchange);
+    let ended = tokio::select! {
+        ended = &mut exchange => Some(ended),
+        () = tokio::time::sleep_until(cx.deadline.into()) => None,
+        () = tx.closed() => None,
+    };
+    if let Some(ended) = ended {
+        let end = settle(&cx, slot, &request, started, ended);
+        let _ = tx.send(end);
+        return;
+    }
+    let _ = tx.send(AttemptEnd::Deadline);
+    cx.relay.journal().record(Code::TargetCancelled, cx.query, format!("{} at {address}", cx.describe()));
+    let cancel = Cancel { query: request.query, origin: request.origin, attempt: request.attempt };
+    let (_, ended) = tokio::join!(
+        client.post_json(address, CANCEL_PATH, &cancel, CANCEL_TIMEOUT),
+        tokio::time::timeout(CANCEL_GRACE, &mut exchange),
+    );
+    match ended {
+        Ok(ended) => {
+            settle(&cx, slot, &request, started, ended);
+        }
+        Err(_) => {
+            cx.ledger.ended(Ran::Unknown);
+            let silent = started.elapsed() >= FAILURE_MIN;
+            slot.finish(if silent { Finish::Failed } else { Finish::Cancelled });
+        }
+    }
+}
+
+/// Judges an ended exchange and frees its slot.
+fn settle(
+    cx: &CellContext,
+    slot: Slot,
+    request: &SearchRequest,
+    started: Instant,
+    ended: Result<Exchange, ExchangeError>,
+) -> AttemptEnd {
+    let address = slot.address();
+    let (end, ran, finish) = match ended {
+        Ok(exchange) => judge(cx, &slot, request, started, &exchange),
+        Err(error) if error.is_not_sent() => (AttemptEnd::NotSent, Ran::No, Finish::Lost),
+        Err(ExchangeError::Timeout { .. }) => (AttemptEnd::Deadline, Ran::Unknown, Finish::Failed),
+        Err(_) => {
+            let alone = slot.service().note_break(now(), address);
+            cx.relay.mark(cx.fingerprint, alone, &cx.block);
+            (AttemptEnd::Broken, Ran::Unknown, Finish::Lost)
+        }
+    };
+    cx.ledger.ended(ran);
+    cx.relay.instruments().end(end.kind());
+    let code = if matches!(end, AttemptEnd::Found(_)) { Code::TargetReplied } else { Code::TargetFailed };
+    cx.relay.journal().record(code, cx.query, format!("{} from {address}", end.kind()));
+    slot.finish(finish);
+    end
+}
+
+fn judge(
+    cx: &CellContext,
+    slot: &Slot,
+    request: &SearchRequest,
+    started: Instant,
+    exchange: &Exchange,
+) -> (AttemptEnd, Ran, Finish) {
+    let (service, address) = (slot.service(), slot.address());
+    if exchange.status != 200 {
+        return match serde_json::from_slice::<NotRun>(&exchange.body) {
+            Ok(NotRun { reason, .. }) => {
+                learn_not_run(cx, slot, started, reason);
+                (AttemptEnd::NotRun(reason), Ran::No, Finish::NotRun)
+            }
+            Err(_) => (AttemptEnd::BadReply, Ran::Unknown, Finish::Failed),
+        };
+    }
+    let Ok(reply) = serde_json::from_slice::<SearchReply>(&exchange.body) else {
+        return (AttemptEnd::BadReply, Ran::Yes, Finish::Failed);
+    };
+    if !answers(&reply, request) {
+        cx.relay.journal().record(Code::ForeignReply, cx.query, format!("from {address}"));
+        return (AttemptEnd::BadReply, Ran::Unknown, Finish::Failed);
+    }
+    service.reply_says(now(), started, address, reply.draining);
+    let latency = now().saturating_duration_since(started);
+    cx.relay.instruments().exchange_ms.record(latency.as_secs_f64() * 1000.0, &[]);
+    (AttemptEnd::Found(shard_hits(reply)), Ran::Yes, Finish::Answered(latency))
+}
+
+/// Tells whether a reply is the whole answer to this request and to nothing else.
+fn answers(reply: &SearchReply, request: &SearchRequest) -> bool {
+    let echoed =
+        (reply.query, reply.origin, reply.attempt) == (request.query, request.origin, request.attempt);
+    let same_index = (reply.snapshot, reply.placement) == (request.snapshot, request.placement);
+    let mut shards: Vec<_> = reply.shards.iter().map(|found| &found.shard).collect();
+    shards.sort();
+    echoed && same_index && shards.into_iter().eq(&request.shards)
+}
+
+fn learn_not_run(cx: &CellContext, slot: &Slot, started: Instant, reason: NotRunReason) {
+    let (service, address) = (slot.service(), slot.address());
+    match reason {
+        NotRunReason::Draining => service.reply_says(now(), started, address, true),
+        NotRunReason::Snapshot => {
+            service.not_held(address, Held { snapshot: cx.snapshot, placement: cx.placement });
+        }
+        NotRunReason::Starting => service.report(now(), address, None),
+        NotRunReason::Busy | NotRunReason::Expired => {}
+    }
+}
+
+fn shard_hits(reply: SearchReply) -> Vec<ShardHits> {
+    let hit = |found: egret_wire::FoundHit| Hit {
+        key: found.key,
+        score: found.score,
+        record: String::from(Box::<str>::from(found.record)),
+    };
+    let shard = |found: egret_wire::ShardFound| ShardHits {
+        shard: found.shard,
+        hits: found.hits.into_iter().map(hit).collect(),
+    };
+    reply.shards.into_iter().map(shard).collect()
+}
+
+impl AttemptEnd {
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Found(_) => "found",
+            Self::NotRun(NotRunReason::Busy) => "busy",
+            Self::NotRun(NotRunReason::Draining) => "draining",
+            Self::NotRun(NotRunReason::Starting) => "starting",
+            Self::NotRun(NotRunReason::Snapshot) => "snapshot",
+            Self::NotRun(NotRunReason::Expired) => "expired",
+            Self::NotSent => "not-sent",
+            Self::Broken => "broken",
+            Self::BadReply => "bad-reply",
+            Self::Deadline => "deadline",
+        }
+    }
+}
+
+/// Returns the time that a target gets, in milliseconds.
+pub(crate) fn target_budget_ms(now: Instant, deadline: Instant) -> u32 {
+    let left = deadline.saturating_duration_since(now).saturating_sub(RETURN_MARGIN);
+    u32::try_from(left.as_millis()).unwrap_or(u32::MAX).max(1)
+}
+
+/// Leaves out the replicas that were tried.
+pub(crate) fn untried(replicas: &[SocketAddr], tried: &[SocketAddr]) -> Vec<SocketAddr> {
+    replicas.iter().filter(|address| !tried.contains(address)).copied().collect()
+}
--- /dev/null
+++ b/crates/relay/src/instruments.rs
@@ -0,0 +1,54 @@
+//! The relay's metrics.
+
+use egret_node::{Metrics, label};
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
+
+/// The instruments of a relay; docs/OPERATIONS.md says what to watch.
+#[derive(Clone, Debug)]
+pub(crate) struct Instruments {
+    attempts: Counter<u64>,
+    hedges: Counter<u64>,
+    retries: Counter<u64>,
+    ends: Counter<u64>,
+    misses: Counter<u64>,
+    pub(crate) exchange_ms: Histogram<f64>,
+    pub(crate) slots: Gauge<u64>,
+    pub(crate) queue: Gauge<u64>,
+    pub(crate) version: Gauge<u64>,
+}
+
+impl Instruments {
+    pub(crate) fn open(metrics: &Metrics) -> Self {
+        Self {
+            attempts: metrics.counter("target_attempts", "Sub-requests sent to targets."),
+            hedges: metrics.counter("target_hedges", "Sub-requests sent as hedges."),
+            retries: metrics.counter("target_retries", "Sub-requests sent again after a failure."),
+            ends: metrics.counter("target_ends", "Ends of sub-requests by kind."),
+            misses: metrics.counter("shard_misses", "Shards not covered by cause."),
+            exchange_ms: metrics.latency("target_exchange_ms", "Time of answered sub-requests."),
+            slots: metrics.gauge("slots_in_use", "Requests in flight at all targets."),
+            queue: metrics.gauge("queue_length", "Sub-requests that wait for a slot."),
+            version: metrics.gauge("config_version", "Version of the configuration in force."),
+        }
+    }
+
+    pub(crate) fn attempt(&self) {
+        self.attempts.add(1, &[]);
+    }
+
+    pub(crate) fn hedge(&self) {
+        self.hedges.add(1, &[]);
+    }
+
+    pub(crate) fn retry(&self) {
+        self.retries.add(1, &[]);
+    }
+
+    pub(crate) fn end(&self, kind: &'static str) {
+        self.ends.add(1, &[label("kind", kind)]);
+    }
+
+    pub(crate) fn misses(&self, cause: egret_model::MissCause, count: usize) {
+        self.misses.add(count as u64, &[label("cause", cause)]);
+    }
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,35 @@
+//! The relay: owns the connections to the targets of its services.
+//!
+//! Entries send one message per relay and query. The relay that is first among
+//! the live candidates of a block sees all work for its replicas, so it can keep
+//! slots, queue, hedges and retries exactly, and notice a request that breaks
+//! targets. docs/DESIGN.md, "Who holds the connections" says what was weighed.
+//!
+//! ```no_run
+//! use egret_node::{Follower, HttpLimits, HttpServer};
+//! use egret_relay::Relay;
+//!
+//! # async fn start(traffic: tokio::runtime::Handle, follower: Follower, journal: egret_events::Journal) {
+//! let relay = Relay::spawn("seeb-1".parse().unwrap(), follower, journal, traffic.clone());
+//! let address = "127.0.0.1:7300".parse().unwrap();
+//! let server = HttpServer::bind(&traffic, address, HttpLimits::default(), relay.site()).await;
+//! # }
+//! ```
+//!
+//! A query's way through this crate: [`RelaySite`] decodes the message, `scatter`
+//! divides it into cells of shards with the same replicas, `cell` finds a slot for
+//! each and hedges or retries, `attempt` is one exchange with one target.
+
+mod attempt;
+mod cell;
+mod instruments;
+mod ledger;
+mod probe;
+mod relay;
+mod scatter;
+mod service_state;
+mod site;
+mod slot;
+
+pub use relay::Relay;
+pub use site::RelaySite;
--- /dev/null
+++ b/crates/relay/src/probe.rs
@@ -0,0 +1,58 @@
+//! Asking targets for their health.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use egret_events::Code;
+use egret_policy::{Held, Phase, Report};
+use egret_wire::{HEALTH_PATH, Health, TargetPhase};
+
+use crate::{Relay, service_state::ServiceState, slot::now};
+
+/// How often the owner asks a replica that did not answer work meanwhile.
+pub(crate) const OWNER_INTERVAL: Duration = Duration::from_millis(500);
+/// How often a standby asks; its signs of life still outlast the interval.
+pub(crate) const STANDBY_INTERVAL: Duration = Duration::from_millis(1000);
+
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Probes the replicas whose last sign of life is older than `interval`.
+pub(crate) fn probe_due(relay: &Relay, service: &Arc<ServiceState>, interval: Duration) {
+    for address in service.begin_probes(now(), interval) {
+        let (relay, service) = (relay.clone(), Arc::clone(service));
+        relay.traffic().clone().spawn(async move { probe(&relay, &service, address).await });
+    }
+}
+
+async fn probe(relay: &Relay, service: &Arc<ServiceState>, address: SocketAddr) {
+    let asked_at = now();
+    let was_live = service.is_live(asked_at, address);
+    let answer = relay.client().get(address, HEALTH_PATH, PROBE_TIMEOUT).await;
+    let health = answer.ok().and_then(|exchange| serde_json::from_slice::<Health>(&exchange.body).ok());
+    let phase = health.as_ref().map(|health| health.phase);
+    service.report(asked_at, address, health.map(report));
+    let is_live = service.is_live(now(), address);
+    if is_live == was_live {
+        return;
+    }
+    let code = match phase {
+        _ if is_live => Code::ReplicaReady,
+        Some(TargetPhase::Draining) => Code::ReplicaLeaving,
+        _ => Code::ReplicaDown,
+    };
+    relay.journal().record(code, None, format!("{} at {address}", service.name()));
+}
+
+fn report(health: Health) -> Report {
+    let mut held: Vec<Held> = health
+        .snapshots
+        .iter()
+        .map(|snapshot| Held { snapshot: snapshot.snapshot, placement: snapshot.placement })
+        .collect();
+    held.sort();
+    let phase = match health.phase {
+        TargetPhase::Starting => Phase::Starting,
+        TargetPhase::Ready => Phase::Ready,
+        TargetPhase::Draining => Phase::Draining,
+    };
+    Report { incarnation: Some(health.incarnation), phase, held }
+}
--- /dev/null
+++ b/crates/relay/src/relay.rs
@@ -0,0 +1,218 @@
+//! The relay's state and its control loop.
+
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use egret_events::{Code, Journal};
+use egret_model::{BlockName, Fingerprint, HostName, Incarnation, ServiceName};
+use egret_node::{Follower, HttpClient, Ops, View, new_incarnation};
+use egret_policy::{PauseDetector, Suspects};
+use egret_wire::{MARK_PATH, Mark, Scatter, ScatterReply};
+use tokio::runtime::Handle;
+
+use crate::{
+    RelaySite,
+    instruments::Instruments,
+    probe::{OWNER_INTERVAL, STANDBY_INTERVAL, probe_due},
+    scatter::{self, find_service},
+    service_state::ServiceState,
+    slot::now,
+};
+
+const TICK: Duration = Duration::from_millis(50);
+const MARK_TIMEOUT: Duration = Duration::from_millis(500);
+const IDLE_CONNECTIONS: usize = 64;
+
+/// A running relay; clones share it.
+#[derive(Clone, Debug)]
+pub struct Relay {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    host: HostName,
+    incarnation: Incarnation,
+    follower: Follower,
+    ops: Ops,
+    instruments: Instruments,
+    traffic: Handle,
+    client: HttpClient,
+    services: ArcSwap<Vec<Arc<ServiceState>>>,
+    suspects: Mutex<Suspects>,
+    attempts: AtomicU64,
+}
+
+impl Relay {
+    /// Starts a relay: control on the current runtime, targets on `traffic`.
+    #[must_use]
+    pub fn spawn(host: HostName, follower: Follower, journal: Journal, traffic: Handle) -> Self {
+        let ops = Ops::new(journal);
+        let instruments = Instruments::open(&ops.metrics);
+        let inner = Inner {
+            host,
+            incarnation: new_incarnation(),
+            follower,
+            ops,
+            instruments,
+            traffic,
+            client: HttpClient::open(IDLE_CONNECTIONS),
+            services: ArcSwap::default(),
+            suspects: Mutex::default(),
+            attempts: AtomicU64::new(0),
+        };
+        let relay = Self { inner: Arc::new(inner) };
+        tokio::spawn(relay.clone().follow());
+        tokio::spawn(relay.clone().tick());
+        relay
+    }
+
+    /// Returns the site to serve.
+    #[must_use]
+    pub fn site(&self) -> RelaySite {
+        RelaySite::new(self.clone())
+    }
+
+    /// Returns the operators' side.
+    #[must_use]
+    pub fn ops(&self) -> &Ops {
+        &self.inner.ops
+    }
+
+    /// Runs the parts of a query that an entry sent.
+    pub async fn answer(&self, scatter: Scatter) -> ScatterReply {
+        scatter::answer(self, scatter).await
+    }
+
+    /// Takes in what another process knows of a request.
+    pub fn learn(&self, fingerprint: Fingerprint, breaks: u8) {
+        if breaks > 0 {
+            self.suspects().learn(now(), fingerprint, breaks);
+        }
+    }
+
+    pub(crate) fn journal(&self) -> &Journal {
+        &self.inner.ops.journal
+    }
+
+    pub(crate) fn instruments(&self) -> &Instruments {
+        &self.inner.instruments
+    }
+
+    pub(crate) fn client(&self) -> &HttpClient {
+        &self.inner.client
+    }
+
+    pub(crate) fn traffic(&self) -> &Handle {
+        &self.inner.traffic
+    }
+
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        self.inner.incarnation
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.inner.ops.is_leaving()
+    }
+
+    pub(crate) fn next_attempt(&self) -> u64 {
+        self.inner.attempts.fetch_add(1, Ordering::Relaxed)
+    }
+
+    pub(crate) fn service(&self, name: &ServiceName) -> Option<Arc<ServiceState>> {
+        find_service(&self.inner.services.load(), name)
+    }
+
+    pub(crate) fn is_poison(&self, fingerprint: Fingerprint) -> bool {
+        self.suspects().is_poison(now(), fingerprint)
+    }
+
+    pub(crate) fn is_suspect(&self, fingerprint: Fingerprint) -> bool {
+        self.suspects().is_suspect(now(), fingerprint)
+    }
+
+    pub(crate) fn breaks(&self, fingerprint: Fingerprint) -> u8 {
+        self.suspects().breaks(now(), fingerprint)
+    }
+
+    /// Marks a request that broke a connection, and tells the block's other candidates.
+    pub(crate) fn mark(&self, fingerprint: Fingerprint, alone: bool, block: &BlockName) {
+        let breaks = self.suspects().mark(now(), fingerprint, alone);
+        self.journal().record(Code::SuspectMarked, None, format!("{fingerprint} broke {breaks}"));
+        let view = self.inner.follower.view();
+        let Some(block) = view.block(block) else { return };
+        for peer in block.all.iter().filter(|peer| peer.host != self.inner.host) {
+            let (client, address) = (self.inner.client.clone(), peer.relay);
+            self.inner.traffic.spawn(async move {
+                let mark = Mark { fingerprint, breaks };
+                let _: Result<bool, _> = client.post_packed(address, MARK_PATH, &mark, MARK_TIMEOUT).await;
+            });
+        }
+    }
+
+    fn suspects(&self) -> MutexGuard<'_, Suspects> {
+        self.inner.suspects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn follow(self) {
+        let mut follower = self.inner.follower.clone();
+        if follower.is_ready() {
+            self.configure(&follower.view());
+        }
+        loop {
+            let view = follower.changed().await;
+            self.configure(&view);
+        }
+    }
+
+    /// Takes up the services that this relay may own; the state of known ones stays.
+    fn configure(&self, view: &View) {
+        let old = self.inner.services.load_full();
+        let mut services: Vec<Arc<ServiceState>> = Vec::new();
+        for service in view.config.services() {
+            let mine =
+                view.block(&service.block).is_some_and(|block| block.has_candidate(self.inner.host.as_str()));
+            if !mine {
+                continue;
+            }
+            let state = find_service(&old, &service.name)
+                .unwrap_or_else(|| Arc::new(ServiceState::new(Arc::clone(service))));
+            state.configure(service, &view.hosts);
+            services.push(state);
+        }
+        self.inner.services.store(Arc::new(services));
+        self.inner.instruments.version.record(view.config.version().0, &[]);
+        self.inner.ops.set_ready(true);
+    }
+
+    /// Probes targets, ends hopeless waits and notices pauses.
+    async fn tick(self) {
+        let mut pauses = PauseDetector::new(now(), TICK);
+        loop {
+            tokio::time::sleep(TICK).await;
+            if let Some(pause) = pauses.tick(now()) {
+                self.journal().record(Code::Paused, None, format!("{} ms", pause.as_millis()));
+            }
+            let view = self.inner.follower.view();
+            let (mut slots, mut queue) = (0, 0);
+            for state in self.inner.services.load().iter() {
+                let owns = view.block(&state.service().block).is_some_and(|block| {
+                    block.live.first().is_some_and(|owner| owner.host == self.inner.host)
+                });
+                probe_due(&self, state, if owns { OWNER_INTERVAL } else { STANDBY_INTERVAL });
+                state.poll(now());
+                let usage = state.usage();
+                slots += usage.0;
+                queue += usage.1;
+            }
+            self.inner.instruments.slots.record(slots as u64, &[]);
+            self.inner.instruments.queue.record(queue as u64, &[]);
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/scatter.rs
@@ -0,0 +1,238 @@
+//! Answering one message of an entry.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use egret_events::Code;
+use egret_model::{MissCause, ServiceName, ShardName};
+use egret_policy::Held;
+use egret_wire::{PartMiss, PartReply, Scatter, ScatterPart, ScatterReply, ShardHits};
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use serde_json::value::RawValue;
+
+use crate::{
+    Relay,
+    cell::{CellContext, CellMiss},
+    ledger::Ledger,
+    service_state::ServiceState,
+    slot::now,
+};
+
+/// The time that the answer takes on its way back to the entry.
+const REPLY_MARGIN: Duration = Duration::from_millis(2);
+const RANK_UNKNOWN: u8 = u8::MAX;
+
+/// The end of one cell.
+struct CellEnd {
+    part: usize,
+    shards: Vec<ShardName>,
+    result: Result<Vec<ShardHits>, CellMiss>,
+}
+
+/// A message while its cells run.
+struct Gathering {
+    parts: Vec<PartReply>,
+    allowed_misses: usize,
+    misses: usize,
+    retry_after: Option<Duration>,
+}
+
+impl Gathering {
+    fn miss(&mut self, part: usize, shards: impl IntoIterator<Item = ShardName>, miss: CellMiss) {
+        let missing = &mut self.parts[part].missing;
+        let before = missing.len();
+        missing.extend(shards.into_iter().map(|shard| PartMiss { shard, cause: miss.cause }));
+        self.misses += missing.len() - before;
+        self.retry_after = self.retry_after.max(miss.retry_after);
+    }
+
+    fn take(&mut self, end: CellEnd) {
+        match end.result {
+            Ok(hits) => self.parts[end.part].covered.extend(hits),
+            Err(miss) => self.miss(end.part, end.shards, miss),
+        }
+    }
+
+    /// Tells whether the entry's minimum coverage can no longer be reached.
+    fn is_decided(&self) -> bool {
+        self.misses > self.allowed_misses
+    }
+}
+
+/// Runs all parts of a message and answers when they ended, when the minimum
+/// coverage cannot be reached any more, or when the time ends.
+pub(crate) async fn answer(relay: &Relay, scatter: Scatter) -> ScatterReply {
+    let received = now();
+    relay.journal().clock().observe(scatter.stamp);
+    relay.journal().record(Code::ScatterReceived, scatter.query, format!("{} parts", scatter.parts.len()));
+    relay.learn(scatter.fingerprint, scatter.breaks);
+    let budget = Duration::from_millis(u64::from(scatter.budget_ms)).saturating_sub(REPLY_MARGIN);
+    let deadline = received + budget;
+    let ledger = Arc::new(Ledger::default());
+    let mut gathering = Gathering {
+        parts: scatter.parts.iter().map(empty_part).collect(),
+        allowed_misses: scatter.allowed_misses as usize,
+        misses: 0,
+        retry_after: None,
+    };
+    let cells = cells(relay, &scatter, deadline, &ledger, &mut gathering);
+    let needed = cells.len() as u32;
+    gather(cells, deadline, &mut gathering).await;
+    for part in &mut gathering.parts {
+        part.covered.sort_by(|a, b| a.shard.cmp(&b.shard));
+        part.missing.sort();
+        part.missing.iter().for_each(|miss| relay.instruments().misses(miss.cause, 1));
+        part.held = relay.service(&part.service).map(|state| state.held_shards(now())).unwrap_or_default();
+    }
+    let detail = format!("{} missing", gathering.misses);
+    ScatterReply {
+        query: scatter.query,
+        origin: scatter.origin,
+        stamp: relay.journal().record(Code::ScatterReplied, scatter.query, detail),
+        snapshot: scatter.snapshot,
+        ran: ledger.ran(),
+        breaks: relay.breaks(scatter.fingerprint),
+        retry_after_ms: gathering.retry_after.map(|after| after.as_millis() as u64),
+        leaving: relay.is_leaving(),
+        attempts: ledger.attempts(),
+        needed,
+        parts: gathering.parts,
+    }
+}
+
+async fn gather(cells: Vec<(usize, Arc<CellContext>)>, deadline: Instant, gathering: &mut Gathering) {
+    let mut pending: Vec<(usize, Vec<ShardName>)> =
+        cells.iter().map(|(part, cell)| (*part, cell.shards.clone())).collect();
+    let mut running: FuturesUnordered<_> = cells
+        .into_iter()
+        .map(|(part, cell)| async move {
+            let shards = cell.shards.clone();
+            CellEnd { part, shards, result: cell.run().await }
+        })
+        .collect();
+    let mut cause = MissCause::Deadline;
+    loop {
+        if gathering.is_decided() {
+            cause = MissCause::Cancelled;
+            break;
+        }
+        tokio::select! {
+            // A reply that is there counts, also at the very end.
+            biased;
+            end = running.next() => match end {
+                Some(end) => {
+                    pending.retain(|(part, shards)| (*part, shards) != (end.part, &end.shards));
+                    gathering.take(end);
+                }
+                None => break,
+            },
+            () = tokio::time::sleep_until(deadline.into()) => break,
+        }
+    }
+    for (part, shards) in pending {
+        gathering.miss(part, shards, cause.into());
+    }
+}
+
+fn empty_part(part: &ScatterPart) -> PartReply {
+    PartReply { service: part.service.clone(), covered: Vec::new(), missing: Vec::new(), held: Vec::new() }
+}
+
+/// Divides the parts into cells; shards that cannot be asked become misses.
+fn cells(
+    relay: &Relay,
+    scatter: &Scatter,
+    deadline: Instant,
+    ledger: &Arc<Ledger>,
+    gathering: &mut Gathering,
+) -> Vec<(usize, Arc<CellContext>)> {
+    let mut cells = Vec::new();
+    let Ok(body) = RawValue::from_string(scatter.body.clone()) else {
+        miss_all(scatter, gathering, MissCause::BadReply);
+        return cells;
+    };
+    let body: Arc<RawValue> = Arc::from(body);
+    if relay.is_poison(scatter.fingerprint) {
+        miss_all(scatter, gathering, MissCause::Suspect);
+        return cells;
+    }
+    for (index, part) in scatter.parts.iter().enumerate() {
+        let Some(state) = relay.service(&part.service) else {
+            gathering.miss(index, part.shards.iter().cloned(), MissCause::NotOwner.into());
+            continue;
+        };
+        let service = state.service();
+        let held = Held { snapshot: scatter.snapshot, placement: part.placement };
+        for group in group_by_replicas(&state, part, held, index, gathering) {
+            let context = CellContext {
+                relay: relay.clone(),
+                ledger: Arc::clone(ledger),
+                service: Arc::clone(&state),
+                block: service.block.clone(),
+                query: scatter.query,
+                fingerprint: scatter.fingerprint,
+                class: scatter.class.clone(),
+                rank: service.class(&scatter.class).map_or(RANK_UNKNOWN, |class| class.rank),
+                snapshot: scatter.snapshot,
+                placement: part.placement,
+                shards: group.shards,
+                replicas: group.replicas,
+                idempotent: scatter.idempotent,
+                body: Arc::clone(&body),
+                deadline,
+            };
+            cells.push((index, Arc::new(context)));
+        }
+    }
+    cells
+}
+
+struct Group {
+    replicas: Vec<SocketAddr>,
+    shards: Vec<ShardName>,
+}
+
+fn group_by_replicas(
+    state: &ServiceState,
+    part: &ScatterPart,
+    held: Held,
+    index: usize,
+    gathering: &mut Gathering,
+) -> Vec<Group> {
+    let mut groups: Vec<Group> = Vec::new();
+    for shard in &part.shards {
+        let cause = match state.holders(shard, held) {
+            None => MissCause::Snapshot,
+            Some(holders) if holders.holding.is_empty() && holders.known => MissCause::Snapshot,
+            Some(holders) if holders.holding.is_empty() => MissCause::NoLiveReplica,
+            Some(holders) => {
+                match groups.binary_search_by(|group| group.replicas.cmp(&holders.holding)) {
+                    Ok(at) => groups[at].shards.push(shard.clone()),
+                    Err(at) => {
+                        let group = Group { replicas: holders.holding, shards: vec![shard.clone()] };
+                        groups.insert(at, group);
+                    }
+                }
+                continue;
+            }
+        };
+        gathering.miss(index, [shard.clone()], cause.into());
+    }
+    groups.iter_mut().for_each(|group| group.shards.sort());
+    groups
+}
+
+fn miss_all(scatter: &Scatter, gathering: &mut Gathering, cause: MissCause) {
+    for (index, part) in scatter.parts.iter().enumerate() {
+        gathering.miss(index, part.shards.iter().cloned(), cause.into());
+    }
+}
+
+/// Finds a service's state in a sorted list.
+pub(crate) fn find_service(services: &[Arc<ServiceState>], name: &ServiceName) -> Option<Arc<ServiceState>> {
+    let at = services.binary_search_by(|state| state.name().cmp(name)).ok()?;
+    Some(Arc::clone(&services[at]))
+}
--- /dev/null
+++ b/crates/relay/src/service_state.rs
@@ -0,0 +1,298 @@
+//! One service as the relay holds it: its dispatcher and the work that waits.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use egret_conf::{HostList, Service};
+use egret_model::{ServiceName, ShardName, SnapshotId, SnapshotShards};
+use egret_policy::{Decision, Dispatcher, Finish, Held, Limits, Offer, Refused, Report, Work, WorkId};
+use tokio::sync::oneshot;
+
+use crate::slot::{Slot, now};
+
+const QUEUE_MAX: usize = 1024;
+const BREAKS_TOGETHER: Duration = Duration::from_millis(100);
+
+type Grant = Result<Slot, Refused>;
+
+#[derive(Debug)]
+struct Waiting {
+    id: WorkId,
+    tx: oneshot::Sender<Grant>,
+}
+
+/// The answer to offered work.
+enum Offering {
+    Ended(Grant),
+    Waits(WorkId, oneshot::Receiver<Grant>),
+}
+
+#[derive(Debug)]
+struct Break {
+    address: SocketAddr,
+    at: Instant,
+}
+
+#[derive(Debug)]
+struct Inner {
+    service: Arc<Service>,
+    dispatcher: Dispatcher,
+    waiting: Vec<Waiting>,
+    next_id: u64,
+    last_break: Option<Break>,
+    probing: Vec<SocketAddr>,
+}
+
+/// A service's dispatcher, shared by all messages that ask for the service.
+#[derive(Debug)]
+pub(crate) struct ServiceState {
+    name: ServiceName,
+    inner: Mutex<Inner>,
+}
+
+/// What a piece of work asks of the dispatcher.
+#[derive(Clone, Debug)]
+pub(crate) struct Wanted {
+    pub(crate) rank: u8,
+    pub(crate) deadline: Instant,
+    pub(crate) replicas: Vec<SocketAddr>,
+    pub(crate) suspect: bool,
+}
+
+impl ServiceState {
+    pub(crate) fn new(service: Arc<Service>) -> Self {
+        let inner = Inner {
+            dispatcher: Dispatcher::new(limits(&service)),
+            service: Arc::clone(&service),
+            waiting: Vec::new(),
+            next_id: 0,
+            last_break: None,
+            probing: Vec::new(),
+        };
+        Self { name: service.name.clone(), inner: Mutex::new(inner) }
+    }
+
+    pub(crate) fn name(&self) -> &ServiceName {
+        &self.name
+    }
+
+    pub(crate) fn service(&self) -> Arc<Service> {
+        Arc::clone(&self.lock().service)
+    }
+
+    /// Takes the declaration and the host list in force.
+    pub(crate) fn configure(self: &Arc<Self>, service: &Arc<Service>, hosts: &HostList) {
+        let mut inner = self.lock();
+        inner.service = Arc::clone(service);
+        inner.dispatcher.set_limits(limits(service));
+        let addresses: Vec<SocketAddr> = service.replicas.iter().map(|replica| replica.address).collect();
+        let decisions = inner.dispatcher.set_replicas(now(), &addresses);
+        for replica in &service.replicas {
+            inner.dispatcher.set_host_leaving(replica.address, hosts.is_leaving(&replica.host));
+        }
+        self.settle(inner, decisions);
+    }
+
+    /// Waits for a slot on one of the wanted replicas.
+    pub(crate) async fn acquire(self: &Arc<Self>, wanted: Wanted) -> Grant {
+        match self.offer(wanted) {
+            Offering::Ended(grant) => grant,
+            Offering::Waits(id, rx) => {
+                let _withdraw = Withdraw { service: self, id };
+                rx.await.expect("every wait ends with a decision")
+            }
+        }
+    }
+
+    fn offer(self: &Arc<Self>, wanted: Wanted) -> Offering {
+        let mut inner = self.lock();
+        inner.next_id += 1;
+        let id = WorkId(inner.next_id);
+        let Wanted { rank, deadline, replicas, suspect } = wanted;
+        let offered = inner.dispatcher.offer(now(), Work { id, rank, deadline, replicas, suspect });
+        let offering = match offered.offer {
+            Offer::Queued => {
+                let (tx, rx) = oneshot::channel();
+                inner.waiting.push(Waiting { id, tx });
+                Offering::Waits(id, rx)
+            }
+            Offer::Start(address) => Offering::Ended(Ok(Slot::new(Arc::clone(self), address))),
+            Offer::Refused(refused) => Offering::Ended(Err(refused)),
+        };
+        self.settle(inner, offered.decisions);
+        offering
+    }
+
+    pub(crate) fn finish(self: &Arc<Self>, now: Instant, address: SocketAddr, finish: Finish) {
+        let mut inner = self.lock();
+        let decisions = inner.dispatcher.finish(now, address, finish);
+        self.settle(inner, decisions);
+    }
+
+    /// Refuses waiting work whose time has come, and starts what can start.
+    pub(crate) fn poll(self: &Arc<Self>, now: Instant) {
+        let mut inner = self.lock();
+        let decisions = inner.dispatcher.poll(now);
+        self.settle(inner, decisions);
+    }
+
+    pub(crate) fn report(self: &Arc<Self>, now: Instant, address: SocketAddr, report: Option<Report>) {
+        let mut inner = self.lock();
+        inner.probing.retain(|probed| *probed != address);
+        let decisions = match report {
+            Some(report) => inner.dispatcher.report(now, address, report),
+            None => inner.dispatcher.probe_failed(now, address),
+        };
+        self.settle(inner, decisions);
+    }
+
+    /// Lists the replicas to probe and notes that their probes run.
+    pub(crate) fn begin_probes(&self, now: Instant, interval: Duration) -> Vec<SocketAddr> {
+        let mut inner = self.lock();
+        let due = inner.dispatcher.to_probe(now, interval);
+        let due: Vec<SocketAddr> =
+            due.into_iter().filter(|address| !inner.probing.contains(address)).collect();
+        inner.probing.extend(&due);
+        due
+    }
+
+    pub(crate) fn reply_says(&self, now: Instant, asked_at: Instant, address: SocketAddr, draining: bool) {
+        self.lock().dispatcher.reply_says(now, asked_at, address, draining);
+    }
+
+    pub(crate) fn not_held(&self, address: SocketAddr, held: Held) {
+        self.lock().dispatcher.not_held(address, held);
+    }
+
+    pub(crate) fn is_live(&self, now: Instant, address: SocketAddr) -> bool {
+        self.lock().dispatcher.is_live(now, address)
+    }
+
+    pub(crate) fn hedge_delay(&self) -> Option<Duration> {
+        self.lock().dispatcher.hedge_delay()
+    }
+
+    pub(crate) fn hedge(self: &Arc<Self>, replicas: &[SocketAddr], tried: &[SocketAddr]) -> Option<Slot> {
+        let address = self.lock().dispatcher.hedge(now(), replicas, tried)?;
+        Some(Slot::new(Arc::clone(self), address))
+    }
+
+    pub(crate) fn may_retry(&self) -> bool {
+        self.lock().dispatcher.may_retry()
+    }
+
+    pub(crate) fn usage(&self) -> (usize, usize) {
+        self.lock().dispatcher.usage()
+    }
+
+    /// Notes a broken connection; returns whether its request was the only one at the target.
+    pub(crate) fn note_break(&self, now: Instant, address: SocketAddr) -> bool {
+        let mut inner = self.lock();
+        let recent = |last: &Break| last.address == address && now.duration_since(last.at) < BREAKS_TOGETHER;
+        let others = inner.dispatcher.in_flight(address) > 1;
+        let alone = !others && !inner.last_break.as_ref().is_some_and(recent);
+        inner.last_break = Some(Break { address, at: now });
+        alone
+    }
+
+    /// Returns the replicas that hold a shard, and whether any of them is known.
+    pub(crate) fn holders(&self, shard: &ShardName, held: Held) -> Option<Holders> {
+        let inner = self.lock();
+        let replicas = addresses(&inner.service, shard, held)?;
+        let known = replicas.iter().any(|&address| inner.dispatcher.is_known(address));
+        let holding = replicas.into_iter().filter(|&address| inner.dispatcher.holds(address, held)).collect();
+        Some(Holders { holding, known })
+    }
+
+    /// Counts, for each declared snapshot, the shards that can be served now.
+    pub(crate) fn held_shards(&self, now: Instant) -> Vec<SnapshotShards> {
+        let inner = self.lock();
+        let count = |snapshot: SnapshotId| {
+            let placement = inner.service.placement_of(snapshot)?;
+            let held = Held { snapshot, placement: placement.id };
+            let shards: Vec<Vec<SocketAddr>> = placement
+                .shards
+                .iter()
+                .filter_map(|place| addresses(&inner.service, &place.name, held))
+                .collect();
+            Some(inner.dispatcher.held_shards(now, held, shards.iter().map(Vec::as_slice)))
+        };
+        inner.service.snapshots.iter().filter_map(|snapshot| count(snapshot.id)).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Ends waits as decided, after the lock is released.
+    ///
+    /// A slot that nobody waits for any more is freed by its drop, which takes
+    /// the lock again.
+    fn settle(self: &Arc<Self>, mut inner: MutexGuard<'_, Inner>, decisions: Vec<Decision>) {
+        let mut grants: Vec<(oneshot::Sender<Grant>, Grant)> = Vec::new();
+        let mut unclaimed: Vec<Slot> = Vec::new();
+        for decision in decisions {
+            let (id, grant) = match decision {
+                Decision::Start(id, address) => (id, Ok(Slot::new(Arc::clone(self), address))),
+                Decision::Refuse(id, refused) => (id, Err(refused)),
+            };
+            match inner.waiting.iter().position(|waiting| waiting.id == id) {
+                Some(at) => grants.push((inner.waiting.swap_remove(at).tx, grant)),
+                None => unclaimed.extend(grant.ok()),
+            }
+        }
+        drop(inner);
+        for (tx, grant) in grants {
+            let _ = tx.send(grant);
+        }
+        drop(unclaimed);
+    }
+
+    fn withdraw(&self, id: WorkId) {
+        let mut inner = self.lock();
+        inner.dispatcher.withdraw(id);
+        inner.waiting.retain(|waiting| waiting.id != id);
+    }
+}
+
+/// The replicas of one shard.
+#[derive(Debug)]
+pub(crate) struct Holders {
+    /// Those that hold the snapshot, sorted.
+    pub(crate) holding: Vec<SocketAddr>,
+    /// Whether any replica of the shard ever reported.
+    pub(crate) known: bool,
+}
+
+/// Takes work out of the queue when nobody waits for it any more.
+struct Withdraw<'a> {
+    service: &'a Arc<ServiceState>,
+    id: WorkId,
+}
+
+impl Drop for Withdraw<'_> {
+    fn drop(&mut self) {
+        self.service.withdraw(self.id);
+    }
+}
+
+fn limits(service: &Service) -> Limits {
+    Limits {
+        slots: service.slots,
+        queue: QUEUE_MAX,
+        hedge_percent: service.hedge_percent,
+        retry_percent: service.retry_percent,
+    }
+}
+
+fn addresses(service: &Service, shard: &ShardName, held: Held) -> Option<Vec<SocketAddr>> {
+    let place = service.placement(held.placement)?.shard(shard)?;
+    let find = |name| service.replicas.binary_search_by(|replica| replica.name.cmp(name)).ok();
+    let mut addresses: Vec<SocketAddr> =
+        place.replicas.iter().filter_map(find).map(|at| service.replicas[at].address).collect();
+    addresses.sort_unstable();
+    Some(addresses)
+}
--- /dev/null
+++ b/crates/relay/src/slot.rs
@@ -0,0 +1,51 @@
+//! A slot of one replica, held while an attempt runs.
+
+use std::{net::SocketAddr, sync::Arc, time::Instant};
+
+use egret_policy::Finish;
+
+use crate::service_state::ServiceState;
+
+/// A slot; dropping it frees it.
+#[derive(Debug)]
+pub(crate) struct Slot {
+    service: Arc<ServiceState>,
+    address: SocketAddr,
+    held: bool,
+}
+
+impl Slot {
+    pub(crate) fn new(service: Arc<ServiceState>, address: SocketAddr) -> Self {
+        Self { service, address, held: true }
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    pub(crate) fn service(&self) -> &Arc<ServiceState> {
+        &self.service
+    }
+
+    /// Frees the slot and tells how the attempt ended.
+    pub(crate) fn finish(mut self, finish: Finish) {
+        self.free(finish);
+    }
+
+    fn free(&mut self, finish: Finish) {
+        if std::mem::take(&mut self.held) {
+            self.service.finish(now(), self.address, finish);
+        }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.free(Finish::Cancelled);
+    }
+}
+
+/// Returns the time of the runtime's clock, which tests pause and advance.
+pub(crate) fn now() -> Instant {
+    tokio::time::Instant::now().into_std()
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,26 @@
+//! Settings from flags and environment variables, checked at start.
+//!
+//! A flag goes before its `EGRET_…` variable, and that before the default:
+//!
+//! ```
+//! use egret_settings::{Environment, Reader};
+//!
+//! let env = Environment::from_pairs([("EGRET_QUEUE", "50")]);
+//! let mut reader = Reader::new(env);
+//! let queue: usize = reader.value("queue", None, Some("64"));
+//! let grace: u64 = reader.value("grace-ms", Some("900".to_owned()), Some("5000"));
+//! assert_eq!((queue, grace), (50, 900));
+//! reader.finish().unwrap();
+//! ```
+//!
+//! [`Reader::finish`] reports every wrong value at once, with name, value and remedy.
+
+mod environment;
+mod error;
+mod reader;
+mod run;
+
+pub use environment::Environment;
+pub use error::{SettingError, SettingErrors};
+pub use reader::Reader;
+pub use run::{EXIT_BAD_SETTING, check_or_exit};
--- /dev/null
+++ b/crates/standin/src/behaviour.rs
@@ -0,0 +1,66 @@
+//! How a stand-in target behaves.
+
+use egret_model::{ClassName, record};
+use egret_wire::HeldSnapshot;
+
+record! {
+    /// The behaviour of one target, changed while it runs.
+    #[serde(deny_unknown_fields, default)]
+    pub struct Behaviour {
+        /// Requests that it runs at a time; more are shed.
+        pub slots: u32,
+        /// The mean service time in microseconds.
+        pub service_us: u64,
+        /// The share of requests that are slow, from 0 to 1.
+        pub slow_share: f64,
+        /// How many times slower those are.
+        pub slow_factor: f64,
+        /// The delay of a new connection in microseconds.
+        pub connect_us: u64,
+        /// Whether it takes no new work and says so.
+        pub draining: bool,
+        /// Whether it says that it is starting.
+        pub starting: bool,
+        /// Whether its health says ready whatever it does.
+        pub health_misleads: bool,
+        /// Whether it refuses all work as busy.
+        pub sheds: bool,
+        /// Whether replies break off in the middle.
+        pub truncates: bool,
+        /// Whether replies name another query.
+        pub confuses: bool,
+        /// Text in a body that crashes the target.
+        pub crash_on: Option<String>,
+        /// Milliseconds that a crashed target stays away.
+        pub crash_ms: u64,
+        /// The snapshots that it holds; empty means all.
+        pub snapshots: Vec<HeldSnapshot>,
+        /// Records in each shard.
+        pub records: u32,
+        /// Classes that it refuses as busy.
+        pub shed_classes: Vec<ClassName>,
+    }
+}
+
+impl Default for Behaviour {
+    fn default() -> Self {
+        Self {
+            slots: 2,
+            service_us: 1000,
+            slow_share: 0.0,
+            slow_factor: 1.0,
+            connect_us: 0,
+            draining: false,
+            starting: false,
+            health_misleads: false,
+            sheds: false,
+            truncates: false,
+            confuses: false,
+            crash_on: None,
+            crash_ms: 3000,
+            snapshots: Vec::new(),
+            records: 50,
+            shed_classes: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,35 @@
+//! Small stand-ins for targets and for the platform.
+//!
+//! Tests and benches meet the outside world through these. A [`Target`] serves
+//! generated well records and can be told to be slow, to drain, to crash or to
+//! mislead; it records what it executed, so that a test can compare answers with
+//! what really ran. A [`Platform`] serves configuration and hosts, and can be
+//! down or stale:
+//!
+//! ```no_run
+//! use egret_standin::{Behaviour, Platform, Target};
+//!
+//! # async fn start() {
+//! let traffic = tokio::runtime::Handle::current();
+//! let platform = Platform::bind(&traffic, "127.0.0.1:0".parse().unwrap()).await.unwrap();
+//! platform.put("head", "{}");
+//!
+//! let target = Target::bind(&traffic, "127.0.0.1:0".parse().unwrap(), Behaviour::default()).await.unwrap();
+//! target.set(Behaviour { draining: true, ..Behaviour::default() });
+//! assert!(target.executions().is_empty());
+//! # }
+//! ```
+
+mod behaviour;
+mod execution;
+mod platform;
+mod publish;
+mod records;
+mod target;
+
+pub use behaviour::Behaviour;
+pub use execution::Execution;
+pub use platform::{Platform, PlatformMode};
+pub use publish::{publish_config, publish_hosts};
+pub use records::{WellRecord, search, well_records};
+pub use target::Target;
--- /dev/null
+++ b/crates/standin/src/target.rs
@@ -0,0 +1,396 @@
+//! A stand-in for a search target licensed by the copy.
+//!
+//! It serves its own small HTTP server over plain connections, because it must be
+//! able to break off in the middle of a reply and to drop every connection.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use egret_model::{Incarnation, QueryId};
+use egret_wire::{
+    CANCEL_PATH, Cancel, HEALTH_PATH, Health, Load, NotRun, NotRunReason, SEARCH_PATH, SearchReply,
+    SearchRequest, ShardFound, TargetPhase,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt, BufReader},
+    net::{TcpListener, TcpStream},
+    runtime::Handle,
+    sync::watch,
+    time::{Instant, sleep},
+};
+
+use crate::{Behaviour, Execution, well_records};
+
+const BEHAVIOUR_PATH: &str = "/admin/behaviour";
+const EXECUTIONS_PATH: &str = "/admin/executions";
+const CANCELLED_KEPT: usize = 1024;
+
+#[derive(Debug)]
+struct Inner {
+    behaviour: Mutex<Behaviour>,
+    incarnation: AtomicU64,
+    running: AtomicU64,
+    overruns: AtomicU64,
+    executions: Mutex<Vec<Execution>>,
+    cancelled: Mutex<Vec<Cancel>>,
+    cancels: watch::Sender<u64>,
+    /// Counts crashes; every connection ends when it changes.
+    crashes: watch::Sender<u64>,
+    started: Instant,
+}
+
+/// A running stand-in target; clones share it.
+#[derive(Clone, Debug)]
+pub struct Target {
+    inner: Arc<Inner>,
+    address: SocketAddr,
+}
+
+struct HttpRequest {
+    path: String,
+    body: Vec<u8>,
+}
+
+struct HttpResponse {
+    status: u16,
+    body: Vec<u8>,
+    truncated: bool,
+}
+
+impl HttpResponse {
+    fn json(status: u16, body: &impl serde::Serialize) -> Self {
+        Self { status, body: serde_json::to_vec(body).expect("bodies have a JSON form"), truncated: false }
+    }
+}
+
+impl Target {
+    /// Starts a target.
+    ///
+    /// # Errors
+    /// Fails where the address cannot be listened on.
+    pub async fn bind(traffic: &Handle, address: SocketAddr, behaviour: Behaviour) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let inner = Arc::new(Inner {
+            behaviour: Mutex::new(behaviour),
+            incarnation: AtomicU64::new(fastrand::u64(1..)),
+            running: AtomicU64::new(0),
+            overruns: AtomicU64::new(0),
+            executions: Mutex::default(),
+            cancelled: Mutex::default(),
+            cancels: watch::Sender::new(0),
+            crashes: watch::Sender::new(0),
+            started: Instant::now(),
+        });
+        let target = Self { inner, address };
+        traffic.spawn(target.clone().serve(listener));
+        Ok(target)
+    }
+
+    /// Returns the address.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes the behaviour.
+    pub fn set(&self, behaviour: Behaviour) {
+        *self.inner.behaviour.lock().unwrap_or_else(PoisonError::into_inner) = behaviour;
+    }
+
+    /// Returns the behaviour.
+    #[must_use]
+    pub fn behaviour(&self) -> Behaviour {
+        self.inner.behaviour.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Returns everything that was executed, in order.
+    #[must_use]
+    pub fn executions(&self) -> Vec<Execution> {
+        self.inner.executions.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Returns how often the target crashed.
+    #[must_use]
+    pub fn crashes(&self) -> u64 {
+        *self.inner.crashes.borrow()
+    }
+
+    /// Returns how often more requests arrived than there are slots.
+    #[must_use]
+    pub fn overruns(&self) -> u64 {
+        self.inner.overruns.load(Ordering::SeqCst)
+    }
+
+    /// Drops all connections and stays away as a crashed target does.
+    pub fn crash(&self) {
+        self.inner.crashes.send_modify(|count| *count += 1);
+    }
+
+    async fn serve(self, mut listener: TcpListener) {
+        let mut crashes = self.inner.crashes.subscribe();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    if let Ok((stream, _)) = accepted {
+                        tokio::spawn(self.clone().connection(stream));
+                    }
+                }
+                _ = crashes.changed() => {
+                    drop(listener);
+                    sleep(Duration::from_millis(self.behaviour().crash_ms)).await;
+                    self.inner.incarnation.store(fastrand::u64(1..), Ordering::SeqCst);
+                    listener = match rebind(self.address).await {
+                        Some(listener) => listener,
+                        None => return,
+                    };
+                }
+            }
+        }
+    }
+
+    async fn connection(self, mut stream: TcpStream) {
+        let mut crashes = self.inner.crashes.subscribe();
+        let _ = stream.set_nodelay(true);
+        let delay = self.behaviour().connect_us;
+        if delay > 0 {
+            sleep(Duration::from_micros(delay)).await;
+        }
+        tokio::select! {
+            _ = self.exchanges(&mut stream) => {}
+            _ = crashes.changed() => {
+                // A crash resets connections rather than closing them in order.
+                let _ = stream.set_zero_linger();
+            }
+        }
+    }
+
+    async fn exchanges(&self, stream: &mut TcpStream) -> Option<()> {
+        let mut stream = BufReader::new(stream);
+        loop {
+            let request = read_request(&mut stream).await?;
+            let response = self.respond(request).await;
+            let text = format!(
+                "HTTP/1.1 {} x\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
+                response.status,
+                response.body.len()
+            );
+            let mut bytes = text.into_bytes();
+            bytes.extend_from_slice(&response.body);
+            if response.truncated {
+                bytes.truncate(bytes.len() - response.body.len() / 2);
+            }
+            stream.get_mut().write_all(&bytes).await.ok()?;
+            if response.truncated {
+                return None;
+            }
+        }
+    }
+
+    async fn respond(&self, request: HttpRequest) -> HttpResponse {
+        match request.path.as_str() {
+            SEARCH_PATH => match serde_json::from_slice(&request.body) {
+                Ok(search) => self.search(search).await,
+                Err(error) => HttpResponse::json(400, &error.to_string()),
+            },
+            CANCEL_PATH => {
+                if let Ok(cancel) = serde_json::from_slice(&request.body) {
+                    self.cancel(cancel);
+                }
+                HttpResponse::json(200, &true)
+            }
+            HEALTH_PATH => HttpResponse::json(200, &self.health()),
+            BEHAVIOUR_PATH => match serde_json::from_slice(&request.body) {
+                Ok(behaviour) => {
+                    self.set(behaviour);
+                    HttpResponse::json(200, &true)
+                }
+                Err(error) => HttpResponse::json(400, &error.to_string()),
+            },
+            EXECUTIONS_PATH => HttpResponse::json(200, &self.executions()),
+            _ => HttpResponse::json(404, &"not found"),
+        }
+    }
+
+    fn health(&self) -> Health {
+        let behaviour = self.behaviour();
+        let phase = match &behaviour {
+            b if b.health_misleads => TargetPhase::Ready,
+            b if b.draining => TargetPhase::Draining,
+            b if b.starting => TargetPhase::Starting,
+            _ => TargetPhase::Ready,
+        };
+        Health {
+            incarnation: Incarnation(self.inner.incarnation.load(Ordering::SeqCst)),
+            phase,
+            snapshots: behaviour.snapshots,
+            load: Load { running: self.inner.running.load(Ordering::SeqCst) as u32, queued: 0 },
+        }
+    }
+
+    fn not_run_reason(&self, behaviour: &Behaviour, search: &SearchRequest) -> Option<NotRunReason> {
+        let held = behaviour.snapshots.is_empty()
+            || behaviour
+                .snapshots
+                .iter()
+                .any(|s| (s.snapshot, s.placement) == (search.snapshot, search.placement));
+        if behaviour.draining {
+            Some(NotRunReason::Draining)
+        } else if behaviour.starting {
+            Some(NotRunReason::Starting)
+        } else if !held {
+            Some(NotRunReason::Snapshot)
+        } else if behaviour.sheds || behaviour.shed_classes.contains(&search.class) {
+            Some(NotRunReason::Busy)
+        } else {
+            None
+        }
+    }
+
+    async fn search(&self, search: SearchRequest) -> HttpResponse {
+        let behaviour = self.behaviour();
+        if let Some(reason) = self.not_run_reason(&behaviour, &search) {
+            let status = if reason == NotRunReason::Snapshot { 409 } else { 503 };
+            return HttpResponse::json(status, &NotRun { reason, retry_after_ms: None });
+        }
+        let Some(_running) = Running::begin(&self.inner, behaviour.slots) else {
+            return HttpResponse::json(503, &NotRun { reason: NotRunReason::Busy, retry_after_ms: Some(5) });
+        };
+        let body = search.body.get().to_owned();
+        let recorded = self.record(&search, &body);
+        if behaviour.crash_on.as_ref().is_some_and(|text| body.contains(text.as_str())) {
+            self.crash();
+            std::future::pending::<()>().await;
+        }
+        let finished = self.work(&behaviour, &search).await;
+        if !finished {
+            return HttpResponse::json(499, &"cancelled while it ran");
+        }
+        self.inner.executions.lock().unwrap_or_else(PoisonError::into_inner)[recorded].completed = true;
+        let found = search.shards.iter().map(|shard| {
+            let records = well_records(&search.service, shard, search.snapshot, behaviour.records);
+            ShardFound { shard: shard.clone(), hits: crate::search(&records, &body) }
+        });
+        let reply = SearchReply {
+            query: if behaviour.confuses { QueryId(search.query.0 ^ 1) } else { search.query },
+            origin: search.origin,
+            attempt: search.attempt,
+            snapshot: search.snapshot,
+            placement: search.placement,
+            shards: found.collect(),
+            draining: self.behaviour().draining,
+        };
+        HttpResponse { truncated: behaviour.truncates, ..HttpResponse::json(200, &reply) }
+    }
+
+    /// Takes the time of a search; returns `false` where it is cancelled meanwhile.
+    async fn work(&self, behaviour: &Behaviour, search: &SearchRequest) -> bool {
+        let mut cancels = self.inner.cancels.subscribe();
+        let slow = fastrand::f64() < behaviour.slow_share;
+        let factor = if slow { behaviour.slow_factor } else { 1.0 };
+        // Uniform around the mean, so that a quantile is worth learning.
+        let micros = behaviour.service_us as f64 * factor * (0.5 + fastrand::f64());
+        let end = Instant::now() + Duration::from_micros(micros as u64);
+        loop {
+            if self.is_cancelled(search) {
+                return false;
+            }
+            tokio::select! {
+                () = tokio::time::sleep_until(end) => return true,
+                _ = cancels.changed() => {}
+            }
+        }
+    }
+
+    fn cancel(&self, cancel: Cancel) {
+        let mut cancelled = self.inner.cancelled.lock().unwrap_or_else(PoisonError::into_inner);
+        if cancelled.len() >= CANCELLED_KEPT {
+            cancelled.remove(0);
+        }
+        cancelled.push(cancel);
+        drop(cancelled);
+        self.inner.cancels.send_modify(|count| *count += 1);
+    }
+
+    fn is_cancelled(&self, search: &SearchRequest) -> bool {
+        let wanted = Cancel { query: search.query, origin: search.origin, attempt: search.attempt };
+        self.inner.cancelled.lock().unwrap_or_else(PoisonError::into_inner).contains(&wanted)
+    }
+
+    fn record(&self, search: &SearchRequest, body: &str) -> usize {
+        let mut executions = self.inner.executions.lock().unwrap_or_else(PoisonError::into_inner);
+        executions.push(Execution {
+            query: search.query,
+            attempt: search.attempt,
+            service: search.service.clone(),
+            shards: search.shards.clone(),
+            snapshot: search.snapshot,
+            placement: search.placement,
+            idempotent: search.idempotent,
+            body: body.to_owned(),
+            at_ms: self.inner.started.elapsed().as_millis() as u64,
+            completed: false,
+        });
+        executions.len() - 1
+    }
+}
+
+struct Running<'a>(&'a Inner);
+
+impl<'a> Running<'a> {
+    fn begin(inner: &'a Inner, slots: u32) -> Option<Self> {
+        let before = inner.running.fetch_add(1, Ordering::SeqCst);
+        let running = Self(inner);
+        if before >= u64::from(slots) {
+            inner.overruns.fetch_add(1, Ordering::SeqCst);
+            return None;
+        }
+        Some(running)
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+async fn rebind(address: SocketAddr) -> Option<TcpListener> {
+    const TRIES: u32 = 200;
+    for _ in 0..TRIES {
+        let socket = tokio::net::TcpSocket::new_v4().ok()?;
+        socket.set_reuseaddr(true).ok()?;
+        if socket.bind(address).is_ok()
+            && let Ok(listener) = socket.listen(1024)
+        {
+            return Some(listener);
+        }
+        sleep(Duration::from_millis(25)).await;
+    }
+    None
+}
+
+/// Reads one request; header names are matched without regard to case.
+async fn read_request(stream: &mut BufReader<&mut TcpStream>) -> Option<HttpRequest> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    let head = String::from_utf8(head).ok()?;
+    let path = head.split(' ').nth(1)?.to_owned();
+    let length = head
+        .lines()
+        .filter_map(|line| line.split_once(':'))
+        .find(|(name, _)| name.eq_ignore_ascii_case("content-length"))
+        .and_then(|(_, value)| value.trim().parse().ok())
+        .unwrap_or(0);
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await.ok()?;
+    Some(HttpRequest { path, body })
+}
--- /dev/null
+++ b/crates/tools/src/bin/timeline.rs
@@ -0,0 +1,82 @@
+//! Prints one time line over all processes: `egret-timeline`.
+
+use std::{net::SocketAddr, process::ExitCode, time::Duration};
+
+use argh::FromArgs;
+use egret_events::{Event, Filter, merge};
+use egret_model::QueryId;
+use egret_node::HttpClient;
+use egret_settings::{Environment, Reader, check_or_exit};
+use egret_wire::EVENTS_PATH;
+
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Merges the journals of all processes into one time line in causal order.
+#[derive(FromArgs)]
+struct Args {
+    /// comma-separated addresses of agents, relays and entries (internal)
+    #[argh(option)]
+    from: Option<String>,
+    /// only events of this query
+    #[argh(option)]
+    query: Option<String>,
+    /// only events with this number
+    #[argh(option)]
+    event: Option<String>,
+    /// only events of processes on this host
+    #[argh(option)]
+    only_host: Option<String>,
+    /// print one JSON object a line
+    #[argh(switch)]
+    json: bool,
+    /// print the effective settings and exit
+    #[argh(switch)]
+    check: bool,
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let mut reader = Reader::new(Environment::of_process());
+    let from: Vec<SocketAddr> = reader.list("from", args.from);
+    let query: Option<QueryId> = reader.optional("query", args.query, None);
+    let number: Option<u16> = reader.optional("event", args.event, None);
+    let host: Option<String> = reader.optional("only-host", args.only_host, None);
+    if from.is_empty() {
+        reader.error("from", "names no process", "give at least one address");
+    }
+    check_or_exit(reader, args.check);
+    let (journals, failed) = read_all(&from).await;
+    let filter = Filter { query, number, host };
+    for event in merge(journals).iter().filter(|event| filter.keeps(event)) {
+        if args.json {
+            println!("{}", serde_json::to_string(event).expect("events have a JSON form"));
+        } else {
+            println!("{event}");
+        }
+    }
+    if failed { ExitCode::FAILURE } else { ExitCode::SUCCESS }
+}
+
+async fn read_all(from: &[SocketAddr]) -> (Vec<Vec<Event>>, bool) {
+    let client = HttpClient::open(1);
+    let mut journals = Vec::new();
+    let mut failed = false;
+    for &address in from {
+        let read = client.get(address, EVENTS_PATH, READ_TIMEOUT).await;
+        match read.map(|exchange| serde_json::from_slice::<Vec<Event>>(&exchange.body)) {
+            Ok(Ok(events)) => journals.push(events),
+            Ok(Err(error)) => {
+                eprintln!(
+                    "{address} did not send events ({error}): check that it is a process of egretcross"
+                );
+                failed = true;
+            }
+            Err(error) => {
+                eprintln!("{error}");
+                failed = true;
+            }
+        }
+    }
+    (journals, failed)
+}
--- /dev/null
+++ b/crates/tools/src/lib.rs
@@ -0,0 +1,12 @@
+//! The operator's tools: publish, timeline, load.
+//!
+//! - `egret-publish` checks declaration files and writes the collected, versioned
+//!   configuration: [`publish`].
+//! - `egret-timeline` merges the journals of all processes into one time line.
+//! - `egret-load` sends an open-loop load and reports latency, coverage and extra
+//!   attempts: [`load`].
+//!
+//! docs/OPERATIONS.md shows each at work.
+
+pub mod load;
+pub mod publish;
--- /dev/null
+++ b/crates/tools/src/load/mod.rs
@@ -0,0 +1,7 @@
+//! Open-loop load with latencies from the intended start.
+
+mod report;
+mod run;
+
+pub use report::Report;
+pub use run::{Plan, run};
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,56 @@
+//! Messages between the processes of egretcross and towards targets.
+//!
+//! Processes of the system speak MessagePack over HTTP ([`encode`], [`decode`]);
+//! callers, targets and the platform speak JSON. Every reply echoes what it
+//! answers, so that a receiver can drop whatever belongs to another request:
+//!
+//! ```
+//! use egret_model::{Incarnation, QueryId};
+//! use egret_wire::{Cancel, decode, encode};
+//!
+//! let cancel = Cancel { query: QueryId(7), origin: Incarnation(1), attempt: 2 };
+//! let bytes = encode(&cancel);
+//! assert_eq!(decode::<Cancel>(&bytes).unwrap(), cancel);
+//! assert!(decode::<Cancel>(&bytes[..3]).is_err());
+//! ```
+//!
+//! - [`QueryRequest`], [`QueryAnswer`], [`RefusalBody`]: callers, docs/API.md.
+//! - [`SearchRequest`], [`SearchReply`], [`NotRun`], [`Health`], [`Cancel`]: targets, docs/TARGETS.md.
+//! - [`Scatter`], [`ScatterReply`]: from entry to relay and back.
+//! - [`Mark`]: between relays. [`PeerState`], [`LocalState`]: from agents.
+
+mod answer;
+mod codec;
+mod mark;
+mod not_run;
+mod paths;
+mod peer;
+mod platform;
+mod query;
+mod refusal_body;
+mod scatter;
+mod scatter_reply;
+mod search;
+mod search_reply;
+mod state;
+mod target_health;
+
+pub use answer::{MissingShard, QueryAnswer, ServiceShards, ShownHit};
+pub use codec::{DecodeError, decode, encode};
+pub use mark::Mark;
+pub use not_run::{NotRun, NotRunReason};
+pub use paths::{
+    CANCEL_PATH, CONFIG_HEAD_KEY, CONFIG_MANIFEST_KEY, CONFIG_PATH, CONFIG_VALUE_PREFIX, EVENTS_PATH,
+    FORWARD_PATH, HEALTH_PATH, HOSTS_KEY, LIVE_PATH, MARK_PATH, METRICS_PATH, PEER_PATH, PEER_VALUE_PATH,
+    QUERY_PATH, READY_PATH, SCATTER_PATH, SEARCH_PATH, STATE_PATH, TICKET_PATH,
+};
+pub use peer::{PeerQuery, PeerState, ValueQuery, ValueReply};
+pub use platform::PlatformValue;
+pub use query::QueryRequest;
+pub use refusal_body::{RefusalBody, TicketBody};
+pub use scatter::{Scatter, ScatterPart};
+pub use scatter_reply::{PartMiss, PartReply, ScatterReply, ShardHits};
+pub use search::{Cancel, SearchRequest};
+pub use search_reply::{FoundHit, SearchReply, ShardFound};
+pub use state::{LocalState, StateQuery};
+pub use target_health::{Health, HeldSnapshot, Load, TargetPhase};
