--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use egret_model::{MissCause, SnapshotShards};
+use egret_model::{Fingerprint, MissCause, SnapshotShards};
 
 use crate::{
     Decision, Finish, Held, LatencyWindow, Offer, Offered, Refused, Report, TokenBucket, Work, WorkId,
@@ -51,6 +51,14 @@
     latency: LatencyWindow,
     hedges: TokenBucket,
     retries: TokenBucket,
+    unproven: Vec<Unproven>,
+}
+
+/// A request that never ended well and runs now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Unproven {
+    fingerprint: Fingerprint,
+    address: SocketAddr,
 }
 
 impl Dispatcher {
@@ -64,6 +72,7 @@
             latency: LatencyWindow::default(),
             hedges: TokenBucket::new(limits.hedge_percent),
             retries: TokenBucket::new(limits.retry_percent),
+            unproven: Vec::new(),
         }
     }
 
@@ -178,8 +187,8 @@
         }
         self.hedges.earn();
         self.retries.earn();
-        if let Some(address) = self.choose(now, &work.replicas) {
-            self.start(address);
+        if let Some(address) = self.choose(now, &work.replicas, work.unproven) {
+            self.start(address, work.unproven);
             return Offered { offer: Offer::Start(address), decisions: Vec::new() };
         }
         self.enqueue(now, work)
@@ -191,7 +200,17 @@
     }
 
     /// Frees a slot and learns from how the attempt ended.
-    pub fn finish(&mut self, now: Instant, address: SocketAddr, finish: Finish) -> Vec<Decision> {
+    pub fn finish(
+        &mut self,
+        now: Instant,
+        address: SocketAddr,
+        unproven: Option<Fingerprint>,
+        finish: Finish,
+    ) -> Vec<Decision> {
+        let ended = |run: &Unproven| Some(run.fingerprint) == unproven && run.address == address;
+        if let Some(at) = self.unproven.iter().position(ended) {
+            self.unproven.swap_remove(at);
+        }
         if let Finish::Answered(latency) = finish {
             self.latency.add(latency);
         }
@@ -231,16 +250,17 @@
         now: Instant,
         replicas: &[SocketAddr],
         tried: &[SocketAddr],
+        unproven: Option<Fingerprint>,
     ) -> Option<SocketAddr> {
         if !self.queue.is_empty() {
             return None;
         }
         let others = without(replicas, tried);
-        let address = self.choose(now, &others)?;
+        let address = self.choose(now, &others, None)?;
         if !self.hedges.spend() {
             return None;
         }
-        self.start(address);
+        self.start(address, unproven);
         Some(address)
     }
 
@@ -284,19 +304,33 @@
 
     /// Chooses a free replica with the least expected latency.
     ///
-    /// Ejected replicas serve only where no other live one can.
-    fn choose(&self, now: Instant, replicas: &[SocketAddr]) -> Option<SocketAddr> {
+    /// Ejected replicas serve only where no other live one can. An unproven request
+    /// stays with the replica that runs its like, so that it breaks one at most.
+    fn choose(
+        &self,
+        now: Instant,
+        replicas: &[SocketAddr],
+        unproven: Option<Fingerprint>,
+    ) -> Option<SocketAddr> {
+        let running: Vec<SocketAddr> = self
+            .unproven
+            .iter()
+            .filter(|run| Some(run.fingerprint) == unproven)
+            .map(|run| run.address)
+            .collect();
         let live = self.live_among(now, replicas);
         let fit: Vec<_> = live.iter().filter(|replica| !replica.is_ejected(now)).collect();
         let pool: Vec<_> = if fit.is_empty() { live.iter().collect() } else { fit };
         let usual = self.latency.mean();
         pool.into_iter()
+            .filter(|replica| running.is_empty() || running.contains(&replica.address))
             .filter(|replica| replica.has_free_slot(self.limits.slots))
             .min_by_key(|replica| (replica.cost(now, usual), replica.starts))
             .map(|replica| replica.address)
     }
 
-    fn start(&mut self, address: SocketAddr) {
+    fn start(&mut self, address: SocketAddr, unproven: Option<Fingerprint>) {
+        self.unproven.extend(unproven.map(|fingerprint| Unproven { fingerprint, address }));
         if let Ok(at) = self.find(address) {
             self.replicas[at].in_flight += 1;
             self.replicas[at].starts += 1;
@@ -365,11 +399,11 @@
 
     fn start_next(&mut self, now: Instant) -> Option<Decision> {
         let mut queue = std::mem::take(&mut self.queue);
-        let next = queue.take(|work| self.choose(now, &work.replicas).is_some());
+        let next = queue.take(|work| self.choose(now, &work.replicas, work.unproven).is_some());
         self.queue = queue;
         let work = next?;
-        let address = self.choose(now, &work.replicas)?;
-        self.start(address);
+        let address = self.choose(now, &work.replicas, work.unproven)?;
+        self.start(address, work.unproven);
         Some(Decision::Start(work.id, address))
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,10 +19,11 @@
 //!     deadline: now + Duration::from_millis(74),
 //!     replicas: vec![target],
 //!     suspect: false,
+//!     unproven: None,
 //! };
 //! assert_eq!(dispatcher.offer(now, work(1)).offer, Offer::Start(target));
 //! assert_eq!(dispatcher.offer(now, work(2)).offer, Offer::Queued);
-//! let decisions = dispatcher.finish(now, target, Finish::Answered(Duration::from_millis(5)));
+//! let decisions = dispatcher.finish(now, target, None, Finish::Answered(Duration::from_millis(5)));
 //! assert_eq!(decisions.len(), 1); // the queued work starts
 //! ```
 //!
--- a/crates/policy/src/suspects.rs
+++ b/crates/policy/src/suspects.rs
@@ -16,6 +16,7 @@
 pub const SHARED_MARK_LASTS: Duration = Duration::from_millis(2500);
 
 const MARKS_MAX: usize = 4096;
+const PROVEN_MAX: usize = 1024;
 
 #[derive(Clone, Copy, Debug)]
 struct Marked {
@@ -31,6 +32,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
     marks: Vec<Marked>,
+    proven: Vec<Fingerprint>,
+    proven_next: usize,
 }
 
 impl Suspects {
@@ -56,6 +59,25 @@
         breaks
     }
 
+    /// Remembers a request that a target answered; the oldest one makes room.
+    pub fn prove(&mut self, fingerprint: Fingerprint) {
+        if self.is_proven(fingerprint) {
+            return;
+        }
+        if self.proven.len() < PROVEN_MAX {
+            self.proven.push(fingerprint);
+        } else {
+            self.proven[self.proven_next] = fingerprint;
+            self.proven_next = (self.proven_next + 1) % PROVEN_MAX;
+        }
+    }
+
+    /// Tells whether a target answered the request lately.
+    #[must_use]
+    pub fn is_proven(&self, fingerprint: Fingerprint) -> bool {
+        self.proven.contains(&fingerprint)
+    }
+
     /// Tells whether a request must not reach the last live replica.
     #[must_use]
     pub fn is_suspect(&self, now: Instant, fingerprint: Fingerprint) -> bool {
--- a/crates/policy/src/work.rs
+++ b/crates/policy/src/work.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use egret_model::MissCause;
+use egret_model::{Fingerprint, MissCause};
 
 /// Names one piece of work inside its dispatcher.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -24,6 +24,8 @@
     pub replicas: Vec<SocketAddr>,
     /// Whether the request broke a connection before.
     pub suspect: bool,
+    /// Set where the request never ended well, so that it runs on one replica at a time.
+    pub unproven: Option<Fingerprint>,
 }
 
 /// Why work is not run.
--- /dev/null
+++ b/crates/proofs/src/declare.rs
@@ -0,0 +1,85 @@
+//! Declarations of a test fleet.
+
+use std::{fmt::Write, net::SocketAddr};
+
+use egret_conf::{Config, Source, collect};
+use egret_model::Version;
+
+use crate::Shape;
+
+/// A snapshot and how its placement turns the shards over the replicas.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SnapshotPlan {
+    /// The snapshot, and its placement.
+    pub id: u64,
+    /// How far the shards move; 0 keeps them.
+    pub turn: usize,
+    /// The number of shards.
+    pub shards: usize,
+}
+
+/// What the declarations of a fleet say.
+#[derive(Clone, Debug)]
+pub struct Declared {
+    /// The fleet's shape.
+    pub shape: Shape,
+    /// The targets by service.
+    pub targets: Vec<Vec<SocketAddr>>,
+    /// The declared snapshots.
+    pub snapshots: Vec<SnapshotPlan>,
+}
+
+const DATA_CENTRES: [&str; 3] = ["seeb", "rusayl", "barka"];
+
+impl Declared {
+    /// Collects the declarations into a configuration.
+    ///
+    /// # Panics
+    /// Panics where the declarations are wrong, which is a bug of the test.
+    #[must_use]
+    pub fn config(&self, version: u64) -> Config {
+        let sources: Vec<Source> = (0..self.targets.len())
+            .map(|service| Source::new(format!("{}.egret.toml", service_name(service)), self.text(service)))
+            .collect();
+        collect(Version(version), &sources).expect("the test's declarations are right")
+    }
+
+    fn text(&self, service: usize) -> String {
+        let shape = &self.shape;
+        let name = service_name(service);
+        let mut text = format!(
+            "service = \"{name}\"\ngroup = \"desk\"\nslots = {}\nconnections = 60\nretry_percent = {:?}\nhedge_percent = {:?}\n",
+            shape.slots, shape.retry_percent, shape.hedge_percent
+        );
+        for (class, rank) in [("lookup", 1), ("file", 2), ("archive", 3)] {
+            let _ = write!(
+                text,
+                "[[class]]\nname = \"{class}\"\nrank = {rank}\ntime_budget_ms = {}\nmin_coverage = {:?}\nbelow_minimum = \"{}\"\n",
+                shape.budget_ms, shape.min_coverage, shape.below_minimum
+            );
+        }
+        for (replica, address) in self.targets[service].iter().enumerate() {
+            let data_centre = DATA_CENTRES[replica % DATA_CENTRES.len()];
+            let _ = write!(
+                text,
+                "[[replica]]\nname = \"r{replica}\"\naddress = \"{address}\"\nhost = \"t-{service}-{replica}\"\ndata_centre = \"{data_centre}\"\n"
+            );
+        }
+        for snapshot in &self.snapshots {
+            let _ = writeln!(text, "[[placement]]\nid = {}\nshards = [", snapshot.id);
+            for shard in 0..snapshot.shards {
+                let replicas: Vec<String> = (0..shape.copies)
+                    .map(|copy| format!("\"r{}\"", (shard + copy + snapshot.turn) % shape.replicas))
+                    .collect();
+                let _ = writeln!(text, "{{ name = \"s{shard}\", replicas = [{}] }},", replicas.join(", "));
+            }
+            let _ = writeln!(text, "]\n[[snapshot]]\nid = {}\nplacement = {}", snapshot.id, snapshot.id);
+        }
+        text
+    }
+}
+
+/// Names a service of a test fleet.
+pub(crate) fn service_name(service: usize) -> String {
+    format!("desk-{service:02}")
+}
--- /dev/null
+++ b/crates/proofs/src/fleet.rs
@@ -0,0 +1,376 @@
+//! A small fleet of real daemons with stand-ins around it.
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU8, Ordering},
+    },
+    time::Duration,
+};
+
+use egret_client::{Client, Query};
+use egret_conf::{Config, Head, Host, HostList, HostState};
+use egret_model::{DataCentre, HostName};
+use egret_node::HttpClient;
+use egret_standin::{Execution, Platform, Target, publish_config, publish_hosts};
+use egret_wire::{HeldSnapshot, METRICS_PATH, READY_PATH};
+use nix::sys::signal::Signal;
+use tokio::{
+    runtime::Handle,
+    sync::{Semaphore, SemaphorePermit},
+    time::{Instant, sleep},
+};
+
+use crate::{Daemon, Declared, Role, Shape, SnapshotPlan};
+
+const PLATFORM_PORT: u16 = 7000;
+const TARGET_PORT: u16 = 7100;
+const INTERNAL_PORT: u16 = 7200;
+const RELAY_PORT: u16 = 7300;
+const AGENT_PORT: u16 = 7400;
+const ENTRY_PORT: u16 = 8080;
+const FIRST_HOST: u8 = 10;
+const READY_WITHIN: Duration = Duration::from_secs(30);
+const DATA_CENTRES: [&str; 3] = ["seeb", "rusayl", "barka"];
+
+/// Fleets at a time; each is a dozen processes.
+static FLEETS: Semaphore = Semaphore::const_new(2);
+static NETWORKS: AtomicU8 = AtomicU8::new(0);
+
+#[derive(Debug)]
+struct Published {
+    config: Config,
+    head: Head,
+    hosts: HostList,
+}
+
+/// A running fleet; dropping it kills every process.
+#[derive(Debug)]
+pub struct Fleet {
+    /// What the declarations say.
+    pub declared: Mutex<Declared>,
+    /// The stand-in platform.
+    pub platform: Platform,
+    /// The stand-in targets by service.
+    pub targets: Vec<Vec<Target>>,
+    network: [u8; 3],
+    shape: Shape,
+    /// Where each agent finds the platform.
+    platform_of: Vec<SocketAddr>,
+    daemons: Mutex<Vec<[Option<Daemon>; 3]>>,
+    published: Mutex<Published>,
+    http: HttpClient,
+    _permit: SemaphorePermit<'static>,
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until it serves.
+    ///
+    /// # Panics
+    /// Panics where it does not serve in time.
+    pub async fn start(shape: Shape) -> Self {
+        let fleet = Self::prepare(shape, |platform| platform).await;
+        fleet.start_daemons();
+        fleet.wait_ready().await;
+        fleet
+    }
+
+    /// Prepares a fleet without starting its daemons; `platform_of` may put a
+    /// forwarder before the platform.
+    ///
+    /// # Panics
+    /// Panics where an address cannot be listened on.
+    pub async fn prepare(shape: Shape, platform_of: impl Fn(SocketAddr) -> SocketAddr) -> Self {
+        let permit = FLEETS.acquire().await.expect("the semaphore is never closed");
+        let network = new_network();
+        let traffic = Handle::current();
+        let platform = Platform::bind(&traffic, address(network, 1, PLATFORM_PORT))
+            .await
+            .expect("the test's addresses are free");
+        let mut targets = Vec::new();
+        for service in 0..shape.services {
+            let mut replicas = Vec::new();
+            for replica in 0..shape.replicas {
+                let port = TARGET_PORT + (service * shape.replicas + replica) as u16;
+                let target = Target::bind(&traffic, address(network, 2, port), shape.behaviour.clone()).await;
+                replicas.push(target.expect("the test's addresses are free"));
+            }
+            targets.push(replicas);
+        }
+        let first = SnapshotPlan { id: 1, turn: 0, shards: shape.shards };
+        let addresses =
+            targets.iter().map(|replicas| replicas.iter().map(Target::address).collect()).collect();
+        let declared = Declared { shape: shape.clone(), targets: addresses, snapshots: vec![first] };
+        let hosts = host_list(network, shape.hosts);
+        publish_hosts(&platform, &hosts);
+        let config = declared.config(1);
+        let head = publish_config(&platform, &config, None);
+        let daemons = (0..shape.hosts).map(|_| [None, None, None]).collect();
+        Self {
+            declared: Mutex::new(declared),
+            platform_of: vec![platform_of(platform.address()); shape.hosts],
+            platform,
+            targets,
+            network,
+            shape,
+            daemons: Mutex::new(daemons),
+            published: Mutex::new(Published { config, head, hosts }),
+            http: HttpClient::open(4),
+            _permit: permit,
+        }
+    }
+
+    /// Puts another address of the platform before one host's agent, before it starts.
+    pub fn route_platform(&mut self, host: usize, address: SocketAddr) {
+        self.platform_of[host] = address;
+    }
+
+    /// Returns a free address of the fleet's network, for a forwarder.
+    #[must_use]
+    pub fn spare_address(&self, number: u16) -> SocketAddr {
+        address(self.network, 3, 9000 + number)
+    }
+
+    /// Starts every daemon.
+    pub fn start_daemons(&self) {
+        for host in 0..self.shape.hosts {
+            for role in [Role::Agent, Role::Relay, Role::Entry] {
+                self.start_daemon(host, role);
+            }
+        }
+    }
+
+    /// Starts one daemon, in place of one that ended.
+    pub fn start_daemon(&self, host: usize, role: Role) {
+        let name = format!("host-{host}");
+        let agent = self.address(host, Role::Agent).to_string();
+        let listen = self.address(host, role).to_string();
+        let flags: Vec<String> = match role {
+            Role::Agent => {
+                let data_centre = DATA_CENTRES[host % DATA_CENTRES.len()].to_owned();
+                let peers: Vec<String> =
+                    (0..self.shape.hosts).map(|peer| self.address(peer, Role::Agent).to_string()).collect();
+                let platform = self.platform_of[host].to_string();
+                ["--host", &name, "--data-centre", &data_centre, "--listen", &listen, "--platform", &platform]
+                    .into_iter()
+                    .map(ToOwned::to_owned)
+                    .chain(["--peers".to_owned(), peers.join(",")])
+                    .collect()
+            }
+            Role::Relay => {
+                own(&["--host", &name, "--listen", &listen, "--agent", &agent, "--notice-ms", "500"])
+            }
+            Role::Entry => {
+                let internal = self.internal_address(host).to_string();
+                let mut flags = own(&["--host", &name, "--listen", &listen, "--agent", &agent]);
+                flags.extend(own(&["--internal", &internal, "--notice-ms", "500"]));
+                flags.extend(self.shape.entry_flags.iter().cloned());
+                flags
+            }
+        };
+        let binary = match role {
+            Role::Agent => "egret-agent",
+            Role::Relay => "egret-relay",
+            Role::Entry => "egret-entry",
+        };
+        self.daemons.lock().unwrap_or_else(PoisonError::into_inner)[host][index(role)] =
+            Some(Daemon::start(binary, &flags));
+    }
+
+    /// Sends a signal to one daemon.
+    pub fn signal(&self, host: usize, role: Role, signal: Signal) {
+        let daemons = self.daemons.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(daemon) = &daemons[host][index(role)] {
+            daemon.signal(signal);
+        }
+    }
+
+    /// Returns a daemon's exit code, where it ended by itself.
+    #[must_use]
+    pub fn exit_code(&self, host: usize, role: Role) -> Option<i32> {
+        let mut daemons = self.daemons.lock().unwrap_or_else(PoisonError::into_inner);
+        daemons[host][index(role)].as_mut()?.exit_code()
+    }
+
+    /// Waits until every daemon reports ready and every relay knows its targets.
+    ///
+    /// # Panics
+    /// Panics where that does not happen in time.
+    pub async fn wait_ready(&self) {
+        for host in 0..self.shape.hosts {
+            for role in [Role::Agent, Role::Relay, Role::Entry] {
+                self.wait_daemon_ready(host, role).await;
+            }
+        }
+        let deadline = Instant::now() + READY_WITHIN;
+        loop {
+            let answer = self.client().query_once(&self.lookup(0).budget(Duration::from_secs(2))).await;
+            if answer.is_ok_and(|answer| answer.missing.is_empty()) {
+                return;
+            }
+            assert!(Instant::now() < deadline, "the fleet does not answer in full");
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    /// Waits until one daemon reports ready.
+    ///
+    /// # Panics
+    /// Panics where that does not happen in time.
+    pub async fn wait_daemon_ready(&self, host: usize, role: Role) {
+        let deadline = Instant::now() + READY_WITHIN;
+        while !self.is_ready(host, role).await {
+            assert!(Instant::now() < deadline, "{role:?} of host {host} is not ready");
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Tells whether one daemon reports ready.
+    pub async fn is_ready(&self, host: usize, role: Role) -> bool {
+        let answer = self.http.get(self.address(host, role), READY_PATH, Duration::from_secs(1)).await;
+        answer.is_ok_and(|exchange| exchange.status == 200)
+    }
+
+    /// Reads one metric of a daemon, summed over its labels.
+    pub async fn metric(&self, host: usize, role: Role, name: &str) -> f64 {
+        let address =
+            if role == Role::Entry { self.internal_address(host) } else { self.address(host, role) };
+        let Ok(exchange) = self.http.get(address, METRICS_PATH, Duration::from_secs(2)).await else {
+            return 0.0;
+        };
+        let text = String::from_utf8_lossy(&exchange.body).into_owned();
+        let value = |line: &str| line.rsplit(' ').next().and_then(|value| value.parse::<f64>().ok());
+        text.lines().filter(|line| line.starts_with(name)).filter_map(value).sum()
+    }
+
+    /// Returns a client of all entries.
+    #[must_use]
+    pub fn client(&self) -> Client {
+        Client::open((0..self.shape.hosts).map(|host| self.address(host, Role::Entry)))
+    }
+
+    /// Returns a client of one entry.
+    #[must_use]
+    pub fn client_of(&self, host: usize) -> Client {
+        Client::open([self.address(host, Role::Entry)])
+    }
+
+    /// Makes a field lookup whose expected answer depends on its number.
+    ///
+    /// # Panics
+    /// Never: the query is valid.
+    #[must_use]
+    pub fn lookup(&self, number: u64) -> Query {
+        Query::group("desk", "lookup", &body(number)).expect("the query is valid")
+    }
+
+    /// Changes the declarations and publishes them as the next version.
+    pub fn publish(&self, change: impl FnOnce(&mut Declared)) -> u64 {
+        let mut declared = self.declared.lock().unwrap_or_else(PoisonError::into_inner);
+        change(&mut declared);
+        let mut published = self.published.lock().unwrap_or_else(PoisonError::into_inner);
+        let version = published.config.version().0 + 1;
+        let config = declared.config(version);
+        let head = publish_config(&self.platform, &config, Some((&published.config, &published.head)));
+        (published.config, published.head) = (config, head);
+        version
+    }
+
+    /// Changes the host list and publishes it.
+    pub fn publish_hosts(&self, change: impl FnOnce(&mut HostList)) {
+        let mut published = self.published.lock().unwrap_or_else(PoisonError::into_inner);
+        change(&mut published.hosts);
+        published.hosts.revision += 1;
+        published.hosts.sort();
+        publish_hosts(&self.platform, &published.hosts);
+    }
+
+    /// Lets one target hold the given snapshots.
+    pub fn hold(&self, service: usize, replica: usize, snapshots: &[u64]) {
+        let target = &self.targets[service][replica];
+        let mut behaviour = target.behaviour();
+        let held = |&id: &u64| HeldSnapshot {
+            snapshot: egret_model::SnapshotId(id),
+            placement: egret_model::PlacementId(id),
+        };
+        behaviour.snapshots = snapshots.iter().map(held).collect();
+        target.set(behaviour);
+    }
+
+    /// Returns everything that all targets executed.
+    #[must_use]
+    pub fn executions(&self) -> Vec<Execution> {
+        self.targets.iter().flatten().flat_map(Target::executions).collect()
+    }
+
+    /// Returns the size of the fleet.
+    #[must_use]
+    pub fn shape(&self) -> &Shape {
+        &self.shape
+    }
+
+    /// Returns where a daemon listens.
+    #[must_use]
+    pub fn address(&self, host: usize, role: Role) -> SocketAddr {
+        let port = match role {
+            Role::Agent => AGENT_PORT,
+            Role::Relay => RELAY_PORT,
+            Role::Entry => ENTRY_PORT,
+        };
+        address(self.network, FIRST_HOST + host as u8, port)
+    }
+
+    /// Returns where an entry listens for other processes.
+    #[must_use]
+    pub fn internal_address(&self, host: usize) -> SocketAddr {
+        address(self.network, FIRST_HOST + host as u8, INTERNAL_PORT)
+    }
+}
+
+fn index(role: Role) -> usize {
+    match role {
+        Role::Agent => 0,
+        Role::Relay => 1,
+        Role::Entry => 2,
+    }
+}
+
+fn own(flags: &[&str]) -> Vec<String> {
+    flags.iter().map(|&flag| flag.to_owned()).collect()
+}
+
+/// Makes the body of a numbered lookup.
+pub(crate) fn body(number: u64) -> String {
+    let depth = 300 + number * 37 % 3000;
+    format!(r#"{{"min_depth_m":{depth},"limit":1000,"number":{number}}}"#)
+}
+
+/// Draws a loopback network that no other test process uses now.
+fn new_network() -> [u8; 3] {
+    let process = std::process::id();
+    let second = 64 + (process % 128) as u8;
+    let third = (process / 128 % 16) as u8 * 16 + NETWORKS.fetch_add(1, Ordering::SeqCst) % 16;
+    [127, second, third]
+}
+
+fn address(network: [u8; 3], last: u8, port: u16) -> SocketAddr {
+    let [a, b, c] = network;
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(a, b, c, last)), port)
+}
+
+fn host_list(network: [u8; 3], count: usize) -> HostList {
+    let host = |number: usize| {
+        let at = |port| Some(address(network, FIRST_HOST + number as u8, port));
+        Host {
+            name: HostName::new(format!("host-{number}")).expect("the name is valid"),
+            data_centre: DataCentre::new(DATA_CENTRES[number % DATA_CENTRES.len()])
+                .expect("the name is valid"),
+            state: HostState::Live,
+            agent: at(AGENT_PORT),
+            relay: at(RELAY_PORT),
+            entry: at(INTERNAL_PORT),
+        }
+    };
+    HostList { revision: 1, hosts: (0..count).map(host).collect() }
+}
--- /dev/null
+++ b/crates/proofs/tests/at_most_once.rs
@@ -0,0 +1,140 @@
+//! Promise 5: a request marked as non-idempotent runs at most once.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use egret_client::{Client, Query};
+use egret_model::{Ran, RefusalKind};
+use egret_proofs::{Fleet, Role, Shape};
+use nix::sys::signal::Signal;
+use tokio::{task::JoinSet, time::sleep};
+
+fn bid(mark: &str) -> Query {
+    let body = format!(r#"{{"mark":"{mark}"}}"#);
+    Query::group("desk", "file", &body).unwrap().non_idempotent().budget(Duration::from_millis(800))
+}
+
+/// Fails where any target's service ran a marked request more than once.
+fn check_at_most_once(fleet: &Fleet) -> usize {
+    let mut counts: BTreeMap<(String, String, String), usize> = BTreeMap::new();
+    for run in fleet.executions().into_iter().filter(|run| !run.idempotent) {
+        for shard in &run.shards {
+            *counts.entry((run.body.clone(), run.service.to_string(), shard.to_string())).or_default() += 1;
+        }
+    }
+    for (key, count) in &counts {
+        assert_eq!(*count, 1, "{key:?} ran {count} times");
+    }
+    counts.len()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_same_ticket_through_any_entry_runs_once() {
+    let fleet = Fleet::start(Shape::default()).await;
+    let ticket = fleet.client_of(0).ticket().await.unwrap().ticket;
+    let query = bid("one").ticket(&ticket);
+    let mut tasks = JoinSet::new();
+    for host in 0..3 {
+        for _ in 0..4 {
+            let (client, query) = (fleet.client_of(host), query.clone());
+            tasks.spawn(async move { client.query_once(&query).await });
+        }
+    }
+    let answers: Vec<_> = tasks.join_all().await.into_iter().map(Result::unwrap).collect();
+    assert!(answers.iter().all(|answer| answer.query == answers[0].query), "two runs were answered");
+    assert_eq!(check_at_most_once(&fleet), 6);
+    let other = bid("other").ticket(&ticket);
+    let error = fleet.client_of(1).query_once(&other).await.unwrap_err();
+    assert_eq!((error.kind(), error.ran()), (Some(RefusalKind::TicketInvalid), Ran::No));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_home_never_runs_an_old_ticket() {
+    let fleet = Fleet::start(Shape::default()).await;
+    let ticket = fleet.client_of(0).ticket().await.unwrap().ticket;
+    fleet.client_of(0).query_once(&bid("before").ticket(&ticket)).await.unwrap();
+    fleet.signal(0, Role::Entry, Signal::SIGKILL);
+    let error = fleet.client_of(1).query_once(&bid("before").ticket(&ticket)).await.unwrap_err();
+    assert_eq!((error.kind(), error.ran()), (Some(RefusalKind::TicketHomeLost), Ran::Unknown));
+    fleet.start_daemon(0, Role::Entry);
+    fleet.wait_daemon_ready(0, Role::Entry).await;
+    for host in 0..3 {
+        let error = fleet.client_of(host).query_once(&bid("before").ticket(&ticket)).await.unwrap_err();
+        assert_eq!((error.kind(), error.ran()), (Some(RefusalKind::TicketHomeLost), Ran::Unknown));
+    }
+    assert_eq!(check_at_most_once(&fleet), 6);
+}
+
+/// The home sleeps past every timeout with a request on its way, and wakes up.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_paused_home_runs_a_resent_request_once() {
+    let fleet = Fleet::start(Shape::default()).await;
+    let ticket = fleet.client_of(0).ticket().await.unwrap().ticket;
+    fleet.signal(0, Role::Entry, Signal::SIGSTOP);
+    for host in [1, 2, 1] {
+        let error = fleet.client_of(host).query_once(&bid("paused").ticket(&ticket)).await.unwrap_err();
+        assert_eq!((error.kind(), error.ran()), (Some(RefusalKind::TicketHomeLost), Ran::Unknown));
+    }
+    fleet.signal(0, Role::Entry, Signal::SIGCONT);
+    let answer = fleet.client_of(1).query(&bid("paused").ticket(&ticket)).await;
+    assert!(answer.is_ok(), "{answer:?}");
+    sleep(Duration::from_millis(500)).await;
+    assert_eq!(check_at_most_once(&fleet), 6);
+}
+
+/// Callers send bids again and again through all entries while daemons are killed and paused.
+#[tokio::test(flavor = "multi_thread")]
+async fn bids_run_at_most_once_under_kills_and_pauses() {
+    let fleet = Fleet::start(Shape { hosts: 4, ..Shape::default() }).await;
+    let mut tasks = JoinSet::new();
+    for caller in 0..6 {
+        let client = fleet.client();
+        tasks.spawn(async move { place_bids(client, caller).await });
+    }
+    let faults = [
+        (0, Role::Relay, Signal::SIGKILL),
+        (1, Role::Entry, Signal::SIGSTOP),
+        (2, Role::Relay, Signal::SIGSTOP),
+        (3, Role::Entry, Signal::SIGKILL),
+        (1, Role::Relay, Signal::SIGKILL),
+    ];
+    for (host, role, signal) in faults {
+        sleep(Duration::from_millis(400)).await;
+        fleet.signal(host, role, signal);
+        sleep(Duration::from_millis(1200)).await;
+        if signal == Signal::SIGKILL {
+            fleet.start_daemon(host, role);
+        } else {
+            fleet.signal(host, role, Signal::SIGCONT);
+        }
+    }
+    let ends: Vec<Vec<Option<Ran>>> = tasks.join_all().await;
+    let all: Vec<Option<Ran>> = ends.into_iter().flatten().collect();
+    let unknown = all.iter().filter(|end| **end == Some(Ran::Unknown)).count();
+    let answered = all.iter().filter(|end| end.is_none()).count();
+    println!("bids {} answered {answered} unknown {unknown}", all.len());
+    check_at_most_once(&fleet);
+    assert!(answered * 2 > all.len(), "only {answered} of {} bids were answered", all.len());
+}
+
+/// Returns, for each bid, `None` where it was answered, else whether it ran.
+async fn place_bids(client: Client, caller: usize) -> Vec<Option<Ran>> {
+    let mut ends = Vec::new();
+    for number in 0..25 {
+        let Ok(ticket) = client.ticket().await else { continue };
+        let query = bid(&format!("bid-{caller}-{number}")).ticket(ticket.ticket);
+        // The caller gives up on its own account and sends the same bid through other entries.
+        let mut end = None;
+        for _ in 0..4 {
+            match client.query_once(&query).await {
+                Ok(_) => {
+                    end = None;
+                    break;
+                }
+                Err(error) => end = Some(error.ran()),
+            }
+        }
+        ends.push(end);
+        sleep(Duration::from_millis(50)).await;
+    }
+    ends
+}
--- /dev/null
+++ b/crates/proofs/tests/configuration.rs
@@ -0,0 +1,172 @@
+//! Promise 8: an accepted configuration is in force everywhere within seconds and never reverts.
+
+use std::time::Duration;
+
+use egret_proofs::{Fleet, Forwarder, Passing, Role, Shape};
+use egret_standin::PlatformMode;
+use nix::sys::signal::Signal;
+use tokio::time::{Instant, sleep};
+
+/// The bound of the promise.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(6);
+const VERSION: &str = "egret_config_version";
+
+async fn versions(fleet: &Fleet) -> Vec<u64> {
+    let mut versions = Vec::new();
+    for host in 0..fleet.shape().hosts {
+        for role in [Role::Relay, Role::Entry] {
+            versions.push(fleet.metric(host, role, VERSION).await as u64);
+        }
+    }
+    versions
+}
+
+async fn wait_in_force(fleet: &Fleet, version: u64) {
+    let deadline = Instant::now() + IN_FORCE_WITHIN;
+    loop {
+        let versions = versions(fleet).await;
+        if versions.iter().all(|v| *v == version) {
+            return;
+        }
+        assert!(Instant::now() < deadline, "version {version} is not in force everywhere: {versions:?}");
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_is_in_force_everywhere_in_time() {
+    let fleet = Fleet::start(Shape { hosts: 6, ..Shape::default() }).await;
+    for _ in 0..4 {
+        let version = fleet.publish(|declared| declared.shape.slots += 1);
+        wait_in_force(&fleet, version).await;
+    }
+}
+
+/// The platform shows old and new values in turn; no process ever goes back.
+#[tokio::test(flavor = "multi_thread")]
+async fn versions_never_revert_while_the_platform_flaps() {
+    let fleet = Fleet::start(Shape { hosts: 4, ..Shape::default() }).await;
+    let mut newest = vec![0; 8];
+    for round in 0..6 {
+        let version = fleet.publish(|declared| declared.shape.slots += 1);
+        let stale = if round % 2 == 0 { PlatformMode::Stale } else { PlatformMode::Down };
+        wait_in_force(&fleet, version).await;
+        fleet.platform.set_mode(stale);
+        for _ in 0..8 {
+            let now = versions(&fleet).await;
+            for (newest, now) in newest.iter_mut().zip(now) {
+                assert!(now >= *newest, "a process went back from {newest} to {now}");
+                *newest = now;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        fleet.platform.set_mode(PlatformMode::Up);
+    }
+}
+
+/// Agents restart while the platform is stale: their peers know better.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_agent_learns_the_newest_version_from_its_peers() {
+    let fleet = Fleet::start(Shape::default()).await;
+    let version = fleet.publish(|declared| declared.shape.slots += 1);
+    wait_in_force(&fleet, version).await;
+    fleet.platform.set_mode(PlatformMode::Stale);
+    for role in [Role::Agent, Role::Relay, Role::Entry] {
+        fleet.signal(0, role, Signal::SIGKILL);
+    }
+    sleep(Duration::from_millis(200)).await;
+    for role in [Role::Agent, Role::Relay, Role::Entry] {
+        fleet.start_daemon(0, role);
+    }
+    for role in [Role::Agent, Role::Relay, Role::Entry] {
+        fleet.wait_daemon_ready(0, role).await;
+    }
+    assert_eq!(versions(&fleet).await, vec![version; 6]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_starts_from_its_peers_while_the_platform_is_down() {
+    let fleet = Fleet::start(Shape::default()).await;
+    fleet.platform.set_mode(PlatformMode::Down);
+    for role in [Role::Agent, Role::Relay, Role::Entry] {
+        fleet.signal(1, role, Signal::SIGKILL);
+    }
+    sleep(Duration::from_millis(200)).await;
+    for role in [Role::Agent, Role::Relay, Role::Entry] {
+        fleet.start_daemon(1, role);
+    }
+    for role in [Role::Agent, Role::Relay, Role::Entry] {
+        fleet.wait_daemon_ready(1, role).await;
+    }
+    let answer = fleet.client_of(1).query(&fleet.lookup(1)).await.unwrap();
+    assert!(answer.missing.is_empty());
+}
+
+/// Half of the agents cannot reach the platform and hear from the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn agents_cut_from_the_platform_hear_from_their_peers() {
+    let shape = Shape { hosts: 6, ..Shape::default() };
+    let mut fleet = Fleet::prepare(shape, |platform| platform).await;
+    let mut forwarders = Vec::new();
+    for host in 0..3 {
+        let forwarder = Forwarder::bind(fleet.spare_address(host as u16), fleet.platform.address()).await;
+        fleet.route_platform(host, forwarder.address());
+        forwarders.push(forwarder);
+    }
+    fleet.start_daemons();
+    fleet.wait_ready().await;
+    for (number, forwarder) in forwarders.iter().enumerate() {
+        forwarder.set(if number % 2 == 0 { Passing::Cut } else { Passing::Silent });
+    }
+    let version = fleet.publish(|declared| declared.shape.slots += 1);
+    wait_in_force(&fleet, version).await;
+}
+
+/// Two publishers race with one version; every process ends with the same content.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_race_of_publishers_ends_with_one_content() {
+    let fleet = Fleet::start(Shape::default()).await;
+    let version = fleet.publish(|declared| declared.shape.slots += 1);
+    let declared = fleet.declared.lock().unwrap().clone();
+    let mut other = declared.clone();
+    other.shape.slots += 5;
+    let (one, two) = (declared.config(version), other.config(version));
+    egret_standin::publish_config(&fleet.platform, &two, None);
+    wait_in_force(&fleet, version).await;
+    let newest = one.root().max(two.root());
+    let deadline = Instant::now() + IN_FORCE_WITHIN;
+    loop {
+        let mut roots = Vec::new();
+        for host in 0..3 {
+            roots.push(agent_root(&fleet, host).await);
+        }
+        if roots.iter().all(|root| *root == Some(newest)) {
+            return;
+        }
+        assert!(Instant::now() < deadline, "contents differ: {roots:?}, not {newest}");
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
+async fn agent_root(fleet: &Fleet, host: usize) -> Option<egret_conf::Hash> {
+    let client = egret_node::HttpClient::open(1);
+    let query = egret_wire::StateQuery::default();
+    let address = fleet.address(host, Role::Agent);
+    let state: Result<Option<egret_wire::LocalState>, _> =
+        client.post_packed(address, egret_wire::STATE_PATH, &query, Duration::from_secs(2)).await;
+    Some(state.ok()??.root)
+}
+
+/// Platform calls grow more slowly than the fleet: watchers are three per data centre.
+#[tokio::test(flavor = "multi_thread")]
+async fn platform_calls_stay_within_the_budget() {
+    let fleet = Fleet::start(Shape { hosts: 12, services: 1, ..Shape::default() }).await;
+    sleep(Duration::from_secs(2)).await;
+    let before = fleet.platform.calls();
+    let seconds = 6;
+    sleep(Duration::from_secs(seconds)).await;
+    let rate = (fleet.platform.calls() - before) as f64 / seconds as f64;
+    // 9 watchers renew 2 watches every 2 s: 9 calls a second, whatever the number of hosts.
+    println!("platform calls per second with 12 hosts: {rate:.1}");
+    assert!(rate <= 18.0, "{rate} calls a second");
+}
--- /dev/null
+++ b/crates/proofs/tests/refusals.rs
@@ -0,0 +1,101 @@
+//! Promise 4: when a refusal says that a request was not run, it was not run.
+
+use std::time::Duration;
+
+use egret_client::Query;
+use egret_model::{Ran, RefusalKind};
+use egret_proofs::{Fleet, Shape};
+use egret_standin::Behaviour;
+use tokio::{task::JoinSet, time::sleep};
+
+/// Asks with a mark in the body, so that executions can be found without a query's identifier.
+fn marked(mark: &str) -> Query {
+    Query::group("desk", "lookup", &format!(r#"{{"mark":"{mark}"}}"#)).unwrap()
+}
+
+fn runs(fleet: &Fleet, mark: &str) -> usize {
+    let mark = format!("\"{mark}\"");
+    fleet.executions().iter().filter(|execution| execution.body.contains(&mark)).count()
+}
+
+/// Checks that the refusal says when to come back and keeps its word.
+async fn refused_not_run(fleet: &Fleet, query: &Query, mark: &str, kind: RefusalKind) {
+    let error = fleet.client().query_once(query).await.unwrap_err();
+    assert_eq!((error.kind(), error.ran()), (Some(kind), Ran::No), "{error}");
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(runs(fleet, mark), 0, "{kind} said not run");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refusals_without_a_run_have_no_run() {
+    let shape = Shape { below_minimum: "refuse", min_coverage: 1.0, budget_ms: 500, ..Shape::default() };
+    let usual = shape.behaviour.clone();
+    let fleet = Fleet::start(shape).await;
+    let unknown = Query::group("nowhere", "lookup", r#"{"mark":"m1"}"#).unwrap();
+    refused_not_run(&fleet, &unknown, "m1", RefusalKind::NotFound).await;
+    let unknown = Query::group("desk", "nothing", r#"{"mark":"m2"}"#).unwrap();
+    refused_not_run(&fleet, &unknown, "m2", RefusalKind::NotFound).await;
+    let no_ticket = marked("m3").non_idempotent();
+    refused_not_run(&fleet, &no_ticket, "m3", RefusalKind::TicketNeeded).await;
+    let bad_ticket = marked("m4").non_idempotent().ticket("t1_nonsense");
+    refused_not_run(&fleet, &bad_ticket, "m4", RefusalKind::TicketInvalid).await;
+    let bad_budget = marked("m5").budget(Duration::ZERO);
+    refused_not_run(&fleet, &bad_budget, "m5", RefusalKind::BadRequest).await;
+    let bad_share = marked("m6").min_coverage(7.0);
+    refused_not_run(&fleet, &bad_share, "m6", RefusalKind::BadRequest).await;
+    for target in fleet.targets.iter().flatten() {
+        target.set(Behaviour { sheds: true, ..usual.clone() });
+    }
+    // One service, so that no other relay's word is missing when the first one decides the query.
+    let one = |mark: &str| Query::service("desk-00", "lookup", &format!(r#"{{"mark":"{mark}"}}"#)).unwrap();
+    refused_not_run(&fleet, &one("m7"), "m7", RefusalKind::Overload).await;
+    for target in fleet.targets.iter().flatten() {
+        target.set(Behaviour { draining: true, ..usual.clone() });
+    }
+    sleep(Duration::from_millis(1500)).await;
+    refused_not_run(&fleet, &one("m8"), "m8", RefusalKind::Coverage).await;
+}
+
+/// More work than the slots carry: what is refused as not run has not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn overload_refusals_are_true_immediate_and_say_when_to_come_back() {
+    let behaviour = Behaviour { service_us: 40_000, ..Shape::default().behaviour };
+    let shape = Shape {
+        services: 1,
+        shards: 1,
+        below_minimum: "refuse",
+        min_coverage: 1.0,
+        budget_ms: 300,
+        behaviour,
+        ..Shape::default()
+    };
+    let fleet = Fleet::start(shape).await;
+    for number in 0..8 {
+        let _ = fleet.client().query_once(&fleet.lookup(number)).await;
+    }
+    let client = fleet.client();
+    let mut tasks = JoinSet::new();
+    for number in 0..200 {
+        let (client, query) = (client.clone(), marked(&format!("o{number}")));
+        tasks.spawn(async move {
+            let started = tokio::time::Instant::now();
+            (number, client.query_once(&query).await, started.elapsed())
+        });
+    }
+    let (mut not_run, mut answered) = (0, 0);
+    for (number, result, took) in tasks.join_all().await {
+        match result {
+            Ok(_) => answered += 1,
+            Err(error) if error.ran() == Ran::No => {
+                not_run += 1;
+                assert_eq!(runs(&fleet, &format!("o{number}")), 0, "{error}");
+                let refusal = error.refusal().expect("an entry answered");
+                assert!(refusal.retry_after_ms.is_some_and(|after| after > 0), "{refusal:?}");
+                // A wait that cannot end in time is refused when that is known, not at its deadline.
+                assert!(took < Duration::from_millis(300), "refused after {took:?}");
+            }
+            Err(_) => {}
+        }
+    }
+    assert!(not_run > 100 && answered > 5, "{not_run} not run, {answered} answered");
+}
--- /dev/null
+++ b/crates/proofs/tests/true_coverage.rs
@@ -0,0 +1,79 @@
+//! Promises 2 and 3: the stated coverage is true, and an answer is the caller's own.
+
+use std::{sync::Arc, time::Duration};
+
+use egret_proofs::{Fleet, Role, Shape, check_answer};
+use egret_standin::Behaviour;
+use nix::sys::signal::Signal;
+use tokio::{task::JoinSet, time::sleep};
+
+async fn ask_many(fleet: &Arc<Fleet>, callers: u64, queries: u64, budget: Duration) -> (usize, usize) {
+    let mut tasks = JoinSet::new();
+    for caller in 0..callers {
+        let fleet = Arc::clone(fleet);
+        tasks.spawn(async move {
+            let client = fleet.client();
+            let (mut answered, mut short) = (0, 0);
+            for query in 0..queries {
+                let number = caller * 1000 + query;
+                if let Ok(answer) = client.query_once(&fleet.lookup(number).budget(budget)).await {
+                    check_answer(&fleet, number, &answer);
+                    answered += 1;
+                    short += usize::from(!answer.missing.is_empty());
+                }
+            }
+            (answered, short)
+        });
+    }
+    let ended = tasks.join_all().await;
+    ended.into_iter().fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1))
+}
+
+/// Targets that are late, break off, or answer for another query.
+#[tokio::test(flavor = "multi_thread")]
+async fn coverage_is_true_with_broken_targets() {
+    let shape = Shape { services: 4, shards: 4, replicas: 3, copies: 2, ..Shape::default() };
+    let usual = shape.behaviour.clone();
+    let fleet = Arc::new(Fleet::start(shape).await);
+    fleet.targets[0][0].set(Behaviour { truncates: true, ..usual.clone() });
+    fleet.targets[1][0].set(Behaviour { confuses: true, ..usual.clone() });
+    fleet.targets[2][0].set(Behaviour { slow_share: 0.3, slow_factor: 200.0, ..usual.clone() });
+    fleet.targets[3][0].set(Behaviour { sheds: true, ..usual });
+    let (answered, _) = ask_many(&fleet, 6, 25, Duration::from_millis(300)).await;
+    assert!(answered > 100, "only {answered} of 150 were answered");
+}
+
+/// A relay is killed while callers ask through all entries.
+#[tokio::test(flavor = "multi_thread")]
+async fn coverage_is_true_when_a_relay_is_killed() {
+    let fleet = Arc::new(Fleet::start(Shape { services: 6, ..Shape::default() }).await);
+    let faulty = Arc::clone(&fleet);
+    let killer = tokio::spawn(async move {
+        for host in 0..2 {
+            sleep(Duration::from_millis(300)).await;
+            faulty.signal(host, Role::Relay, Signal::SIGKILL);
+            sleep(Duration::from_millis(500)).await;
+            faulty.start_daemon(host, Role::Relay);
+            sleep(Duration::from_millis(700)).await;
+        }
+    });
+    let (answered, short) = ask_many(&fleet, 4, 120, Duration::from_millis(1000)).await;
+    killer.await.unwrap();
+    assert!(answered >= 470, "only {answered} of 480 were answered");
+    assert!(short <= 24, "{short} answers were short");
+}
+
+/// Slow replies make hedges, so that two targets answer for the same shards.
+#[tokio::test(flavor = "multi_thread")]
+async fn hedged_answers_are_whole_and_never_doubled() {
+    let shape = Shape { services: 2, hedge_percent: 100.0, slots: 4, ..Shape::default() };
+    let usual = Behaviour { slots: 4, slow_share: 0.1, slow_factor: 30.0, ..shape.behaviour.clone() };
+    let fleet = Arc::new(Fleet::start(Shape { behaviour: usual, ..shape }).await);
+    let (answered, short) = ask_many(&fleet, 4, 60, Duration::from_millis(2000)).await;
+    let mut hedges = 0.0;
+    for host in 0..fleet.shape().hosts {
+        hedges += fleet.metric(host, Role::Relay, "egret_target_hedges_total").await;
+    }
+    assert_eq!((answered, short), (240, 0));
+    assert!(hedges > 0.0, "no hedge was sent");
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -111,8 +111,8 @@
         Err(error) if error.is_not_sent() => (AttemptEnd::NotSent, Ran::No, Finish::Lost),
         Err(ExchangeError::Timeout { .. }) => (AttemptEnd::Deadline, Ran::Unknown, Finish::Failed),
         Err(_) => {
-            let alone = slot.service().note_break(now(), address);
-            cx.relay.mark(cx.fingerprint, alone, &cx.block);
+            let mark = |alone| cx.relay.mark(cx.fingerprint, alone, &cx.block);
+            slot.service().note_break(now(), address, cx.fingerprint, mark);
             (AttemptEnd::Broken, Ran::Unknown, Finish::Lost)
         }
     };
@@ -149,6 +149,7 @@
         return (AttemptEnd::BadReply, Ran::Unknown, Finish::Failed);
     }
     service.reply_says(now(), started, address, reply.draining);
+    cx.relay.prove(cx.fingerprint);
     let latency = now().saturating_duration_since(started);
     cx.relay.instruments().exchange_ms.record(latency.as_secs_f64() * 1000.0, &[]);
     (AttemptEnd::Found(shard_hits(reply)), Ran::Yes, Finish::Answered(latency))
--- a/crates/relay/src/cell.rs
+++ b/crates/relay/src/cell.rs
@@ -121,19 +121,27 @@
         Err(miss)
     }
 
+    /// Waits for a slot; a mark that came meanwhile puts the work to the stricter rule.
     async fn acquire(&self, tried: &[SocketAddr]) -> Result<Slot, CellMiss> {
-        let suspect = self.relay.is_suspect(self.fingerprint);
+        loop {
+            let suspect = self.relay.is_suspect(self.fingerprint);
+            let slot = self.service.acquire(self.wanted(tried, suspect)).await?;
+            if self.relay.is_poison(self.fingerprint) {
+                return Err(CellMiss::from(MissCause::Suspect));
+            }
+            if suspect || !self.relay.is_suspect(self.fingerprint) {
+                return Ok(slot);
+            }
+        }
+    }
+
+    fn wanted(&self, tried: &[SocketAddr], suspect: bool) -> Wanted {
         let mut replicas = untried(&self.replicas, tried);
         if replicas.is_empty() && !suspect {
             replicas.clone_from(&self.replicas);
         }
-        let wanted = Wanted { rank: self.rank, deadline: self.deadline, replicas, suspect };
-        let slot = self.service.acquire(wanted).await?;
-        // The mark may have come while the work waited.
-        if self.relay.is_poison(self.fingerprint) {
-            return Err(CellMiss::from(MissCause::Suspect));
-        }
-        Ok(slot)
+        let unproven = self.relay.unproven(self.fingerprint);
+        Wanted { rank: self.rank, deadline: self.deadline, replicas, suspect, unproven }
     }
 
     /// Sends the sub-request, and a second copy where the first is late.
@@ -146,9 +154,7 @@
             end = &mut first => return ended(end),
             () = tokio::time::sleep(delay) => {}
         }
-        let suspect = self.relay.is_suspect(self.fingerprint);
-        let hedge = if suspect { None } else { self.service.hedge(&self.replicas, &[first_address]) };
-        let Some(slot) = hedge else { return ended(first.await) };
+        let Some(slot) = self.hedge_slot(first_address) else { return ended(first.await) };
         self.relay.instruments().hedge();
         self.relay.journal().record(Code::HedgeSent, self.query, self.describe());
         let mut second = attempt::spawn(Arc::clone(self), slot);
@@ -158,6 +164,14 @@
         }
     }
 
+    /// Takes a slot for a hedge; a suspect gets none.
+    fn hedge_slot(&self, first: SocketAddr) -> Option<Slot> {
+        if self.relay.is_suspect(self.fingerprint) {
+            return None;
+        }
+        self.service.hedge(&self.replicas, &[first], self.relay.unproven(self.fingerprint))
+    }
+
     /// Tells whether another replica may be tried.
     ///
     /// Work that was certainly not run may always be; work that may have run only
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -137,6 +137,15 @@
         self.suspects().is_suspect(now(), fingerprint)
     }
 
+    /// Returns the fingerprint of a request that no target answered lately.
+    pub(crate) fn unproven(&self, fingerprint: Fingerprint) -> Option<Fingerprint> {
+        (!self.suspects().is_proven(fingerprint)).then_some(fingerprint)
+    }
+
+    pub(crate) fn prove(&self, fingerprint: Fingerprint) {
+        self.suspects().prove(fingerprint);
+    }
+
     pub(crate) fn breaks(&self, fingerprint: Fingerprint) -> u8 {
         self.suspects().breaks(now(), fingerprint)
     }
--- a/crates/relay/src/service_state.rs
+++ b/crates/relay/src/service_state.rs
@@ -7,7 +7,7 @@
 };
 
 use egret_conf::{HostList, Service};
-use egret_model::{ServiceName, ShardName, SnapshotId, SnapshotShards};
+use egret_model::{Fingerprint, ServiceName, ShardName, SnapshotId, SnapshotShards};
 use egret_policy::{Decision, Dispatcher, Finish, Held, Limits, Offer, Refused, Report, Work, WorkId};
 use tokio::sync::oneshot;
 
@@ -21,6 +21,7 @@
 #[derive(Debug)]
 struct Waiting {
     id: WorkId,
+    unproven: Option<Fingerprint>,
     tx: oneshot::Sender<Grant>,
 }
 
@@ -33,6 +34,7 @@
 #[derive(Debug)]
 struct Break {
     address: SocketAddr,
+    fingerprint: Fingerprint,
     at: Instant,
 }
 
@@ -42,7 +44,7 @@
     dispatcher: Dispatcher,
     waiting: Vec<Waiting>,
     next_id: u64,
-    last_break: Option<Break>,
+    breaks: Vec<Break>,
     probing: Vec<SocketAddr>,
 }
 
@@ -60,6 +62,7 @@
     pub(crate) deadline: Instant,
     pub(crate) replicas: Vec<SocketAddr>,
     pub(crate) suspect: bool,
+    pub(crate) unproven: Option<Fingerprint>,
 }
 
 impl ServiceState {
@@ -69,7 +72,7 @@
             service: Arc::clone(&service),
             waiting: Vec::new(),
             next_id: 0,
-            last_break: None,
+            breaks: Vec::new(),
             probing: Vec::new(),
         };
         Self { name: service.name.clone(), inner: Mutex::new(inner) }
@@ -111,24 +114,30 @@
         let mut inner = self.lock();
         inner.next_id += 1;
         let id = WorkId(inner.next_id);
-        let Wanted { rank, deadline, replicas, suspect } = wanted;
-        let offered = inner.dispatcher.offer(now(), Work { id, rank, deadline, replicas, suspect });
+        let Wanted { rank, deadline, replicas, suspect, unproven } = wanted;
+        let offered = inner.dispatcher.offer(now(), Work { id, rank, deadline, replicas, suspect, unproven });
         let offering = match offered.offer {
             Offer::Queued => {
                 let (tx, rx) = oneshot::channel();
-                inner.waiting.push(Waiting { id, tx });
+                inner.waiting.push(Waiting { id, unproven, tx });
                 Offering::Waits(id, rx)
             }
-            Offer::Start(address) => Offering::Ended(Ok(Slot::new(Arc::clone(self), address))),
+            Offer::Start(address) => Offering::Ended(Ok(Slot::new(Arc::clone(self), address, unproven))),
             Offer::Refused(refused) => Offering::Ended(Err(refused)),
         };
         self.settle(inner, offered.decisions);
         offering
     }
 
-    pub(crate) fn finish(self: &Arc<Self>, now: Instant, address: SocketAddr, finish: Finish) {
+    pub(crate) fn finish(
+        self: &Arc<Self>,
+        now: Instant,
+        address: SocketAddr,
+        unproven: Option<Fingerprint>,
+        finish: Finish,
+    ) {
         let mut inner = self.lock();
-        let decisions = inner.dispatcher.finish(now, address, finish);
+        let decisions = inner.dispatcher.finish(now, address, unproven, finish);
         self.settle(inner, decisions);
     }
 
@@ -175,9 +184,14 @@
         self.lock().dispatcher.hedge_delay()
     }
 
-    pub(crate) fn hedge(self: &Arc<Self>, replicas: &[SocketAddr], tried: &[SocketAddr]) -> Option<Slot> {
-        let address = self.lock().dispatcher.hedge(now(), replicas, tried)?;
-        Some(Slot::new(Arc::clone(self), address))
+    pub(crate) fn hedge(
+        self: &Arc<Self>,
+        replicas: &[SocketAddr],
+        tried: &[SocketAddr],
+        unproven: Option<Fingerprint>,
+    ) -> Option<Slot> {
+        let address = self.lock().dispatcher.hedge(now(), replicas, tried, unproven)?;
+        Some(Slot::new(Arc::clone(self), address, unproven))
     }
 
     pub(crate) fn may_retry(&self) -> bool {
@@ -188,14 +202,26 @@
         self.lock().dispatcher.usage()
     }
 
-    /// Notes a broken connection; returns whether its request was the only one at the target.
-    pub(crate) fn note_break(&self, now: Instant, address: SocketAddr) -> bool {
+    /// Notes a broken connection and calls `mark` with whether its request was the only one at the target.
+    ///
+    /// Equal requests that broke off together count as one break. `mark` runs under
+    /// the lock, so that no slot is granted between a break and its mark.
+    pub(crate) fn note_break(
+        &self,
+        now: Instant,
+        address: SocketAddr,
+        fingerprint: Fingerprint,
+        mark: impl FnOnce(bool),
+    ) {
         let mut inner = self.lock();
-        let recent = |last: &Break| last.address == address && now.duration_since(last.at) < BREAKS_TOGETHER;
-        let others = inner.dispatcher.in_flight(address) > 1;
-        let alone = !others && !inner.last_break.as_ref().is_some_and(recent);
-        inner.last_break = Some(Break { address, at: now });
-        alone
+        inner.breaks.retain(|other| now.saturating_duration_since(other.at) < BREAKS_TOGETHER);
+        let together = inner.breaks.iter().filter(|other| other.address == address);
+        let (equal, others): (Vec<&Break>, Vec<&Break>) =
+            together.partition(|other| other.fingerprint == fingerprint);
+        if equal.is_empty() {
+            mark(others.is_empty() && inner.dispatcher.in_flight(address) <= 1);
+        }
+        inner.breaks.push(Break { address, fingerprint, at: now });
     }
 
     /// Returns the replicas that hold a shard, and whether any of them is known.
@@ -229,26 +255,24 @@
 
     /// Ends waits as decided, after the lock is released.
     ///
-    /// A slot that nobody waits for any more is freed by its drop, which takes
-    /// the lock again.
+    /// A slot whose receiver is gone is freed by its drop, which takes the lock again.
     fn settle(self: &Arc<Self>, mut inner: MutexGuard<'_, Inner>, decisions: Vec<Decision>) {
         let mut grants: Vec<(oneshot::Sender<Grant>, Grant)> = Vec::new();
-        let mut unclaimed: Vec<Slot> = Vec::new();
         for decision in decisions {
-            let (id, grant) = match decision {
-                Decision::Start(id, address) => (id, Ok(Slot::new(Arc::clone(self), address))),
-                Decision::Refuse(id, refused) => (id, Err(refused)),
+            let (Decision::Start(id, _) | Decision::Refuse(id, _)) = decision;
+            // Whoever waits withdraws under this lock, so that no decision comes too late.
+            let Some(at) = inner.waiting.iter().position(|waiting| waiting.id == id) else { continue };
+            let Waiting { unproven, tx, .. } = inner.waiting.swap_remove(at);
+            let grant = match decision {
+                Decision::Start(_, address) => Ok(Slot::new(Arc::clone(self), address, unproven)),
+                Decision::Refuse(_, refused) => Err(refused),
             };
-            match inner.waiting.iter().position(|waiting| waiting.id == id) {
-                Some(at) => grants.push((inner.waiting.swap_remove(at).tx, grant)),
-                None => unclaimed.extend(grant.ok()),
-            }
+            grants.push((tx, grant));
         }
         drop(inner);
         for (tx, grant) in grants {
             let _ = tx.send(grant);
         }
-        drop(unclaimed);
     }
 
     fn withdraw(&self, id: WorkId) {
--- a/crates/relay/src/slot.rs
+++ b/crates/relay/src/slot.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Instant};
 
+use egret_model::Fingerprint;
 use egret_policy::Finish;
 
 use crate::service_state::ServiceState;
@@ -11,12 +12,17 @@
 pub(crate) struct Slot {
     service: Arc<ServiceState>,
     address: SocketAddr,
+    unproven: Option<Fingerprint>,
     held: bool,
 }
 
 impl Slot {
-    pub(crate) fn new(service: Arc<ServiceState>, address: SocketAddr) -> Self {
-        Self { service, address, held: true }
+    pub(crate) fn new(
+        service: Arc<ServiceState>,
+        address: SocketAddr,
+        unproven: Option<Fingerprint>,
+    ) -> Self {
+        Self { service, address, unproven, held: true }
     }
 
     pub(crate) fn address(&self) -> SocketAddr {
@@ -34,7 +40,7 @@
 
     fn free(&mut self, finish: Finish) {
         if std::mem::take(&mut self.held) {
-            self.service.finish(now(), self.address, finish);
+            self.service.finish(now(), self.address, self.unproven, finish);
         }
     }
 }
--- a/crates/standin/src/behaviour.rs
+++ b/crates/standin/src/behaviour.rs
@@ -19,6 +19,8 @@
         pub connect_us: u64,
         /// Whether it takes no new work and says so.
         pub draining: bool,
+        /// Whether only its health says that it drains, while it still runs what arrives.
+        pub health_drains: bool,
         /// Whether it says that it is starting.
         pub starting: bool,
         /// Whether its health says ready whatever it does.
@@ -51,6 +53,7 @@
             slow_factor: 1.0,
             connect_us: 0,
             draining: false,
+            health_drains: false,
             starting: false,
             health_misleads: false,
             sheds: false,
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -7,7 +7,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -29,6 +29,7 @@
 
 const BEHAVIOUR_PATH: &str = "/admin/behaviour";
 const EXECUTIONS_PATH: &str = "/admin/executions";
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 const CANCELLED_KEPT: usize = 1024;
 
 #[derive(Debug)]
@@ -42,6 +43,8 @@
     cancels: watch::Sender<u64>,
     /// Counts crashes; every connection ends when it changes.
     crashes: watch::Sender<u64>,
+    /// Whether the target is away after a crash.
+    away: AtomicBool,
     started: Instant,
 }
 
@@ -86,6 +89,7 @@
             cancelled: Mutex::default(),
             cancels: watch::Sender::new(0),
             crashes: watch::Sender::new(0),
+            away: AtomicBool::new(false),
             started: Instant::now(),
         });
         let target = Self { inner, address };
@@ -129,7 +133,12 @@
     }
 
     /// Drops all connections and stays away as a crashed target does.
+    ///
+    /// Requests that crash it together crash it once.
     pub fn crash(&self) {
+        if self.inner.away.swap(true, Ordering::SeqCst) {
+            return;
+        }
         self.inner.crashes.send_modify(|count| *count += 1);
     }
 
@@ -138,8 +147,10 @@
         loop {
             tokio::select! {
                 accepted = listener.accept() => {
-                    if let Ok((stream, _)) = accepted {
-                        tokio::spawn(self.clone().connection(stream));
+                    match accepted {
+                        Ok((stream, _)) => drop(tokio::spawn(self.clone().connection(stream))),
+                        // Without a pause a lasting error would occupy the thread.
+                        Err(_) => sleep(ACCEPT_PAUSE).await,
                     }
                 }
                 _ = crashes.changed() => {
@@ -150,6 +161,7 @@
                         Some(listener) => listener,
                         None => return,
                     };
+                    self.inner.away.store(false, Ordering::SeqCst);
                 }
             }
         }
@@ -222,7 +234,7 @@
         let behaviour = self.behaviour();
         let phase = match &behaviour {
             b if b.health_misleads => TargetPhase::Ready,
-            b if b.draining => TargetPhase::Draining,
+            b if b.draining || b.health_drains => TargetPhase::Draining,
             b if b.starting => TargetPhase::Starting,
             _ => TargetPhase::Ready,
         };
