--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -52,6 +52,7 @@
     hedges: TokenBucket,
     retries: TokenBucket,
     unproven: Vec<Unproven>,
+    ejected: Vec<SocketAddr>,
 }
 
 /// A request that never ended well and runs now.
@@ -73,6 +74,7 @@
             hedges: TokenBucket::new(limits.hedge_percent),
             retries: TokenBucket::new(limits.retry_percent),
             unproven: Vec::new(),
+            ejected: Vec::new(),
         }
     }
 
@@ -112,6 +114,7 @@
     /// Takes a target's report of itself.
     pub fn report(&mut self, now: Instant, address: SocketAddr, report: Report) -> Vec<Decision> {
         if let Ok(at) = self.find(address) {
+            self.replicas[at].asked = true;
             self.replicas[at].take_report(now, report);
         }
         self.poll(now)
@@ -133,10 +136,11 @@
 
     /// Takes the failure of a probe: the target takes no work until it answers.
     pub fn probe_failed(&mut self, now: Instant, address: SocketAddr) -> Vec<Decision> {
-        if let Ok(at) = self.find(address)
-            && !self.replicas[at].is_confirmed(now, crate::CONFIRMED_FOR)
-        {
-            self.replicas[at].lose();
+        if let Ok(at) = self.find(address) {
+            self.replicas[at].asked = true;
+            if !self.replicas[at].is_confirmed(now, crate::CONFIRMED_FOR) {
+                self.replicas[at].lose();
+            }
         }
         self.poll(now)
     }
@@ -154,6 +158,14 @@
         self.find(address).is_ok_and(|at| self.replicas[at].is_live(now))
     }
 
+    /// Tells whether every replica was asked for its health at least once.
+    ///
+    /// Before that, a relay cannot tell a lost replica from one that it does not know yet.
+    #[must_use]
+    pub fn is_warm(&self) -> bool {
+        self.replicas.iter().all(|replica| replica.asked || replica.removed)
+    }
+
     /// Tells whether a target ever reported and was not lost since.
     #[must_use]
     pub fn is_known(&self, address: SocketAddr) -> bool {
@@ -215,7 +227,9 @@
             self.latency.add(latency);
         }
         if let Ok(at) = self.find(address) {
-            self.replicas[at].take_finish(now, finish, self.limits.slots);
+            if self.replicas[at].take_finish(now, finish, self.limits.slots) {
+                self.ejected.push(address);
+            }
             self.eject_slow(now, at);
             let replica = &self.replicas[at];
             if replica.removed && replica.in_flight == 0 {
@@ -264,6 +278,11 @@
         Some(address)
     }
 
+    /// Returns the replicas that were ejected since the last call.
+    pub fn take_ejected(&mut self) -> Vec<SocketAddr> {
+        std::mem::take(&mut self.ejected)
+    }
+
     /// Takes one retry out of the budget.
     pub fn may_retry(&mut self) -> bool {
         self.retries.spend()
@@ -423,7 +442,9 @@
         means.sort_unstable();
         let Some(median) = means.get(means.len() / 2) else { return };
         if replica.latency.mean() > *median * SLOW_FACTOR {
+            let address = self.replicas[at].address;
             self.replicas[at].eject(now);
+            self.ejected.push(address);
         }
     }
 }
--- a/crates/proofs/src/declare.rs
+++ b/crates/proofs/src/declare.rs
@@ -79,6 +79,15 @@
     }
 }
 
+/// Returns the declaration of one small service.
+#[must_use]
+pub fn example_declaration() -> String {
+    let targets =
+        vec![vec![SocketAddr::from(([127, 0, 0, 1], 7100)), SocketAddr::from(([127, 0, 0, 1], 7101))]];
+    let first = SnapshotPlan { id: 1, turn: 0, shards: 2 };
+    Declared { shape: Shape::default(), targets, snapshots: vec![first] }.text(0)
+}
+
 /// Names a service of a test fleet.
 pub(crate) fn service_name(service: usize) -> String {
     format!("desk-{service:02}")
--- a/crates/proofs/src/lib.rs
+++ b/crates/proofs/src/lib.rs
@@ -27,7 +27,7 @@
 
 pub use check::{check_answer, executions_of, expected_hits};
 pub use daemon::{Daemon, Role, binary};
-pub use declare::{Declared, SnapshotPlan};
+pub use declare::{Declared, SnapshotPlan, example_declaration};
 pub use fleet::Fleet;
 pub use forwarder::{Forwarder, Passing};
 pub use shape::Shape;
--- /dev/null
+++ b/crates/proofs/tests/limits.rs
@@ -0,0 +1,108 @@
+//! Limits on input: each has a clear refusal, and no work reaches a target.
+
+use std::time::Duration;
+
+use egret_proofs::{Fleet, Role, Shape};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+
+async fn limited() -> Fleet {
+    let flags = ["--body-bytes", "2000", "--body-timeout-ms", "400", "--shards", "5", "--connections", "20"];
+    let entry_flags = flags.iter().map(|&flag| flag.to_owned()).collect();
+    Fleet::start(Shape { hosts: 1, services: 2, shards: 2, entry_flags, ..Shape::default() }).await
+}
+
+/// Sends raw text and returns the first line and the body of the answer.
+async fn raw(fleet: &Fleet, text: &str) -> (String, String) {
+    let mut stream = TcpStream::connect(fleet.address(0, Role::Entry)).await.unwrap();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    let mut buf = [0; 4096];
+    // The answer is read until the connection rests, because it may stay open.
+    while let Ok(Ok(count @ 1..)) = timeout(Duration::from_millis(1500), stream.read(&mut buf)).await {
+        answer.extend_from_slice(&buf[..count]);
+        let text = String::from_utf8_lossy(&answer);
+        if text.contains("\r\n\r\n") && (text.contains('}') || text.contains("431")) {
+            break;
+        }
+    }
+    let text = String::from_utf8_lossy(&answer).into_owned();
+    let body = text.split_once("\r\n\r\n").map(|(_, body)| body.to_owned()).unwrap_or_default();
+    (text.lines().next().unwrap_or_default().to_owned(), body)
+}
+
+fn post(body: &str) -> String {
+    format!("POST /v1/query HTTP/1.1\r\nhost: x\r\ncontent-length: {}\r\n\r\n{body}", body.len())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn input_over_a_limit_is_refused_and_reaches_no_target() {
+    let fleet = limited().await;
+    let before = fleet.executions().len();
+    let long = format!(r#"{{"group":"desk","class":"lookup","body":"{}"}}"#, "x".repeat(3000));
+    let shards: Vec<String> = (0..6).map(|n| format!(r#"{{"service":"desk-00","shard":"s{n}"}}"#)).collect();
+    let many =
+        format!(r#"{{"services":["desk-00"],"shards":[{}],"class":"lookup","body":1}}"#, shards.join(","));
+    for (body, status, words) in [
+        (long.as_str(), "413", "\"too-large\""),
+        (many.as_str(), "404", "not declared for snapshot"),
+        (r#"{"group":"desk","class":"lookup","body":1,"colour":2}"#, "400", "unknown field"),
+        (r#"{"group":"desk","class":"lookup"}"#, "400", "missing field"),
+        (r#"{"group":"Desk","class":"lookup","body":1}"#, "400", "use 1 to 64"),
+        (r#"{"class":"lookup","body":1}"#, "400", "names no group"),
+        (r#"{"group":"desk","class":"lookup","body":1,"budget_ms":0}"#, "400", "budget_ms must be"),
+        (r#"{"group":"desk","class":"lookup","body":1,"budget_ms":999999}"#, "400", "budget_ms must be"),
+        (r#"{"group":"desk","class":"lookup","body":1,"ticket":"x"}"#, "400", "takes no ticket"),
+        (r#"{"services":["desk-77"],"class":"lookup","body":1}"#, "404", "desk-77 is not declared"),
+        ("{", "400", "cannot be read"),
+    ] {
+        let (line, answer) = raw(&fleet, &post(body)).await;
+        assert!(line.contains(status), "{line} {answer} for {body}");
+        assert!(answer.contains(words) && answer.contains("\"ran\":\"no\""), "{answer} for {body}");
+        assert!(answer.contains("\"remedy\""), "{answer}");
+    }
+    let (line, _) =
+        raw(&fleet, &format!("GET /ready HTTP/1.1\r\nhost: x\r\nx-a: {}\r\n\r\n", "y".repeat(40_000))).await;
+    assert!(line.contains("431"), "{line}");
+    let (line, answer) =
+        raw(&fleet, "POST /v1/query HTTP/1.1\r\nhost: x\r\ncontent-length: 50\r\n\r\n{\"gr").await;
+    assert!(line.contains("400") && answer.contains("did not arrive in time"), "{line} {answer}");
+    let (line, answer) = raw(&fleet, "GET /v1/other HTTP/1.1\r\nhost: x\r\n\r\n").await;
+    assert!(line.contains("404") && answer.contains("docs/API.md"), "{line} {answer}");
+    assert_eq!(fleet.executions().len(), before, "work reached a target");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_query_over_too_many_shards_is_refused() {
+    let entry_flags = vec!["--shards".to_owned(), "7".to_owned()];
+    let shape =
+        Shape { hosts: 1, services: 2, shards: 3, entry_flags: entry_flags.clone(), ..Shape::default() };
+    let fleet = Fleet::start(shape).await;
+    fleet.publish(|declared| declared.snapshots[0].shards = 4);
+    sleep(Duration::from_millis(1500)).await;
+    let (line, answer) = raw(&fleet, &post(r#"{"group":"desk","class":"lookup","body":1}"#)).await;
+    assert!(line.contains("413") && answer.contains("asks 8 shards, more than 7"), "{line} {answer}");
+}
+
+/// Connections over the limit wait, and are served when others end.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_over_the_limit_wait() {
+    let fleet = limited().await;
+    let mut idle = Vec::new();
+    for _ in 0..20 {
+        idle.push(TcpStream::connect(fleet.address(0, Role::Entry)).await.unwrap());
+    }
+    sleep(Duration::from_millis(200)).await;
+    let ready = "GET /ready HTTP/1.1\r\nhost: x\r\n\r\n";
+    let mut stream = TcpStream::connect(fleet.address(0, Role::Entry)).await.unwrap();
+    stream.write_all(ready.as_bytes()).await.unwrap();
+    let mut buf = [0; 1024];
+    let waited = timeout(Duration::from_millis(500), stream.read(&mut buf)).await;
+    assert!(waited.is_err(), "a connection over the limit was served");
+    drop(idle);
+    let count = timeout(Duration::from_secs(3), stream.read(&mut buf)).await.unwrap().unwrap();
+    assert!(String::from_utf8_lossy(&buf[..count]).contains("200"));
+}
--- /dev/null
+++ b/crates/proofs/tests/soak.rs
@@ -0,0 +1,231 @@
+//! Promise 10: faults together and twice, drawn from a seed.
+//!
+//! CI runs a fixed set; `scripts/soak --seeds A..B` runs any.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use egret_client::{Client, Query};
+use egret_model::Ran;
+use egret_proofs::{Fleet, Role, Shape, SnapshotPlan, check_answer};
+use egret_standin::{Behaviour, PlatformMode};
+use nix::sys::signal::Signal;
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep},
+};
+
+const CI_SEEDS: &str = "1..5";
+const LENGTH: Duration = Duration::from_secs(4);
+
+/// One fault of a plan.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Kill(usize, Role),
+    Pause(usize, Role),
+    Terminate(usize, Role),
+    Platform(PlatformMode),
+    Crash(usize, usize),
+    Slow(usize, usize),
+    Truncate(usize, usize),
+    Confuse(usize, usize),
+    Shed(usize, usize),
+    Publish,
+    NextSnapshot,
+}
+
+fn draw(random: &mut fastrand::Rng, shape: &Shape) -> Fault {
+    let host = random.usize(..shape.hosts);
+    let role = [Role::Agent, Role::Relay, Role::Entry][random.usize(..3)];
+    let (service, replica) = (random.usize(..shape.services), random.usize(..shape.replicas));
+    match random.u8(..11) {
+        0 => Fault::Kill(host, role),
+        1 => Fault::Pause(host, role),
+        2 => Fault::Terminate(host, role),
+        3 => Fault::Platform([PlatformMode::Down, PlatformMode::Stale][random.usize(..2)]),
+        4 => Fault::Crash(service, replica),
+        5 => Fault::Slow(service, replica),
+        6 => Fault::Truncate(service, replica),
+        7 => Fault::Confuse(service, replica),
+        8 => Fault::Shed(service, replica),
+        9 => Fault::Publish,
+        _ => Fault::NextSnapshot,
+    }
+}
+
+struct Soak {
+    fleet: Arc<Fleet>,
+    usual: Behaviour,
+    snapshot: std::sync::atomic::AtomicU64,
+}
+
+impl Soak {
+    /// Brings a fault about, and ends it after a while.
+    async fn apply(&self, fault: Fault, lasts: Duration) {
+        let fleet = &self.fleet;
+        let target = |service: usize, replica: usize, behaviour: Behaviour| {
+            let held = fleet.targets[service][replica].behaviour().snapshots;
+            fleet.targets[service][replica].set(Behaviour { snapshots: held, ..behaviour });
+        };
+        match fault {
+            Fault::Kill(host, role) => {
+                fleet.signal(host, role, Signal::SIGKILL);
+                sleep(lasts).await;
+                fleet.start_daemon(host, role);
+            }
+            Fault::Terminate(host, role) => {
+                fleet.signal(host, role, Signal::SIGTERM);
+                sleep(lasts + Duration::from_millis(700)).await;
+                fleet.start_daemon(host, role);
+            }
+            Fault::Pause(host, role) => {
+                fleet.signal(host, role, Signal::SIGSTOP);
+                sleep(lasts).await;
+                fleet.signal(host, role, Signal::SIGCONT);
+            }
+            Fault::Platform(mode) => {
+                fleet.platform.set_mode(mode);
+                sleep(lasts).await;
+                fleet.platform.set_mode(PlatformMode::Up);
+            }
+            Fault::Crash(service, replica) => fleet.targets[service][replica].crash(),
+            Fault::Publish => {
+                drop(fleet.publish(|declared| declared.shape.slots = 2 + declared.shape.slots % 3))
+            }
+            Fault::NextSnapshot => self.next_snapshot(lasts).await,
+            Fault::Slow(service, replica)
+            | Fault::Truncate(service, replica)
+            | Fault::Confuse(service, replica)
+            | Fault::Shed(service, replica) => {
+                let usual = self.usual.clone();
+                let broken = match fault {
+                    Fault::Slow(..) => Behaviour { slow_share: 0.5, slow_factor: 100.0, ..usual },
+                    Fault::Truncate(..) => Behaviour { truncates: true, ..usual },
+                    Fault::Confuse(..) => Behaviour { confuses: true, ..usual },
+                    _ => Behaviour { sheds: true, ..usual },
+                };
+                target(service, replica, broken);
+                sleep(lasts).await;
+                target(service, replica, self.usual.clone());
+            }
+        }
+    }
+
+    /// Publishes a snapshot and moves the targets to it one by one.
+    async fn next_snapshot(&self, lasts: Duration) {
+        let id = 1 + self.snapshot.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
+        let plan = SnapshotPlan { id, turn: id as usize, shards: 2 + id as usize % 2 };
+        self.fleet.publish(|declared| declared.snapshots.push(plan));
+        let shape = self.fleet.shape();
+        for replica in 0..shape.replicas {
+            for service in 0..shape.services {
+                self.fleet.hold(service, replica, &[id - 1, id]);
+                sleep(lasts / 10).await;
+            }
+        }
+    }
+}
+
+async fn lookups(fleet: Arc<Fleet>, caller: u64, end: Instant) -> (usize, usize) {
+    let client = fleet.client();
+    let (mut answered, mut refused) = (0, 0);
+    let mut number = caller * 100_000;
+    while Instant::now() < end {
+        number += 1;
+        match client.query_once(&fleet.lookup(number).budget(Duration::from_millis(400))).await {
+            Ok(answer) => {
+                check_answer(&fleet, number, &answer);
+                answered += 1;
+            }
+            Err(_) => refused += 1,
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    (answered, refused)
+}
+
+/// Sends each bid up to three times and returns the marks that were refused as not run for good.
+async fn bids(client: Client, caller: u64, end: Instant) -> Vec<String> {
+    let mut never = Vec::new();
+    let mut number = 0;
+    while Instant::now() < end {
+        number += 1;
+        let mark = format!("bid-{caller}-{number}-");
+        let Ok(ticket) = client.ticket().await else { continue };
+        let query = Query::group("desk", "file", &format!(r#"{{"mark":"{mark}"}}"#)).unwrap();
+        let query = query.non_idempotent().ticket(ticket.ticket).budget(Duration::from_millis(400));
+        let mut all_not_run = true;
+        for _ in 0..3 {
+            match client.query_once(&query).await {
+                Ok(_) => {
+                    all_not_run = false;
+                    break;
+                }
+                Err(error) => all_not_run &= error.ran() == Ran::No && error.refusal().is_some(),
+            }
+        }
+        if all_not_run {
+            never.push(mark);
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    never
+}
+
+fn check_bids(fleet: &Fleet, never: &[String]) {
+    let mut counts: BTreeMap<(String, String, String), usize> = BTreeMap::new();
+    for run in fleet.executions().into_iter().filter(|run| !run.idempotent) {
+        assert!(!never.iter().any(|mark| run.body.contains(mark.as_str())), "{} said not run", run.body);
+        for shard in &run.shards {
+            *counts.entry((run.body.clone(), run.service.to_string(), shard.to_string())).or_default() += 1;
+        }
+    }
+    for (key, count) in &counts {
+        assert_eq!(*count, 1, "{key:?} ran {count} times");
+    }
+}
+
+async fn run_seed(seed: u64) {
+    let shape = Shape { hosts: 3, services: 3, replicas: 3, copies: 2, budget_ms: 400, ..Shape::default() };
+    let usual = shape.behaviour.clone();
+    let fleet = Arc::new(Fleet::start(shape.clone()).await);
+    for service in 0..shape.services {
+        (0..shape.replicas).for_each(|replica| fleet.hold(service, replica, &[1]));
+    }
+    let soak = Arc::new(Soak { fleet: Arc::clone(&fleet), usual, snapshot: 1.into() });
+    let end = Instant::now() + LENGTH;
+    let mut callers = JoinSet::new();
+    (0..3).for_each(|caller| drop(callers.spawn(lookups(Arc::clone(&fleet), caller, end))));
+    let mut bidders = JoinSet::new();
+    (0..2).for_each(|caller| drop(bidders.spawn(bids(fleet.client(), caller, end))));
+    let mut random = fastrand::Rng::with_seed(seed);
+    let mut faults = JoinSet::new();
+    let mut moved = false;
+    while Instant::now() < end {
+        let fault = draw(&mut random, &shape);
+        let lasts = Duration::from_millis(random.u64(100..900));
+        let gap = Duration::from_millis(random.u64(50..500));
+        // One move at a time: the operator waits until all targets hold a snapshot.
+        let again = matches!(fault, Fault::NextSnapshot) && std::mem::replace(&mut moved, true);
+        if !again {
+            let soak = Arc::clone(&soak);
+            faults.spawn(async move { soak.apply(fault, lasts).await });
+        }
+        sleep(gap).await;
+    }
+    let asked = callers.join_all().await;
+    let never: Vec<String> = bidders.join_all().await.into_iter().flatten().collect();
+    faults.join_all().await;
+    check_bids(&fleet, &never);
+    let (answered, refused) = asked.into_iter().fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+    println!("seed {seed}: {answered} answered, {refused} refused, {} bids never run", never.len());
+    assert!(answered > 0, "seed {seed} answered nothing");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn seeded_faults_break_no_promise() {
+    let seeds = std::env::var("EGRET_SEEDS").unwrap_or_else(|_| CI_SEEDS.to_owned());
+    let (first, last) = seeds.split_once("..").expect("give EGRET_SEEDS as A..B");
+    for seed in first.parse().unwrap()..=last.parse().unwrap() {
+        run_seed(seed).await;
+    }
+}
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -197,7 +197,6 @@
         }
         self.inner.services.store(Arc::new(services));
         self.inner.instruments.version.record(view.config.version().0, &[]);
-        self.inner.ops.set_ready(true);
     }
 
     /// Probes targets, ends hopeless waits and notices pauses.
@@ -209,17 +208,28 @@
                 self.journal().record(Code::Paused, None, format!("{} ms", pause.as_millis()));
             }
             let view = self.inner.follower.view();
-            let (mut slots, mut queue) = (0, 0);
+            let (mut slots, mut queue, mut warm) = (0, 0, self.inner.follower.is_ready());
             for state in self.inner.services.load().iter() {
                 let owns = view.block(&state.service().block).is_some_and(|block| {
                     block.live.first().is_some_and(|owner| owner.host == self.inner.host)
                 });
                 probe_due(&self, state, if owns { OWNER_INTERVAL } else { STANDBY_INTERVAL });
                 state.poll(now());
+                for address in state.take_ejected() {
+                    self.journal().record(
+                        Code::ReplicaEjected,
+                        None,
+                        format!("{} at {address}", state.name()),
+                    );
+                }
+                warm &= state.is_warm();
                 let usage = state.usage();
                 slots += usage.0;
                 queue += usage.1;
             }
+            if warm {
+                self.inner.ops.set_ready(true);
+            }
             self.inner.instruments.slots.record(slots as u64, &[]);
             self.inner.instruments.queue.record(queue as u64, &[]);
         }
--- a/crates/relay/src/scatter.rs
+++ b/crates/relay/src/scatter.rs
@@ -160,7 +160,8 @@
         return cells;
     }
     for (index, part) in scatter.parts.iter().enumerate() {
-        let Some(state) = relay.service(&part.service) else {
+        // A relay that does not know its targets yet leaves the work to the next candidate.
+        let Some(state) = relay.service(&part.service).filter(|state| state.is_warm()) else {
             gathering.miss(index, part.shards.iter().cloned(), MissCause::NotOwner.into());
             continue;
         };
--- a/crates/relay/src/service_state.rs
+++ b/crates/relay/src/service_state.rs
@@ -176,6 +176,10 @@
         self.lock().dispatcher.not_held(address, held);
     }
 
+    pub(crate) fn is_warm(&self) -> bool {
+        self.lock().dispatcher.is_warm()
+    }
+
     pub(crate) fn is_live(&self, now: Instant, address: SocketAddr) -> bool {
         self.lock().dispatcher.is_live(now, address)
     }
@@ -194,6 +198,10 @@
         Some(Slot::new(Arc::clone(self), address, unproven))
     }
 
+    pub(crate) fn take_ejected(&self) -> Vec<SocketAddr> {
+        self.lock().dispatcher.take_ejected()
+    }
+
     pub(crate) fn may_retry(&self) -> bool {
         self.lock().dispatcher.may_retry()
     }
