Add the bench with baselines and the slopes for the capacity page

Cause: no decision had a measurement. scripts/bench runs the daemons against stand-in targets with open-loop load, the product and simple designs in turn.

--- a/crates/entry/src/gather.rs
+++ b/crates/entry/src/gather.rs
@@ -127,6 +127,9 @@
     /// Where all are believed to be down, the first is asked all the same: the
     /// belief may be old, and not asking is sure to miss.
     fn choose_relay(&self, part: &PlannedPart, from: usize) -> Option<(SocketAddr, usize)> {
+        if let Some(relay) = self.entry.options().bench_relay {
+            return (from == 0).then_some((relay, 0));
+        }
         let block = self.view.block(&part.block)?;
         let candidates = if block.live.is_empty() { &block.all } else { &block.live };
         let up = |(_, relay): &(usize, &egret_policy::RelayHost)| self.entry.is_relay_up(relay.relay);
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -63,6 +63,9 @@
     /// least log level: error, warn, info or debug (default info)
     #[argh(option)]
     log_level: Option<String>,
+    /// the only relay to ask, for benches only
+    #[argh(option)]
+    bench_relay: Option<String>,
     /// print the effective settings and exit
     #[argh(switch)]
     check: bool,
@@ -93,6 +96,7 @@
     let tickets = reader.number("tickets", args.tickets, "100000", 1..=10_000_000) as usize;
     let notice = millis(reader.number("notice-ms", args.notice_ms, "2000", 0..=600_000));
     let grace = millis(reader.number("grace-ms", args.grace_ms, "5000", 0..=600_000));
+    let bench_relay: Option<SocketAddr> = reader.optional("bench-relay", args.bench_relay, None);
     let log_format: Option<LogFormat> = reader.optional("log-format", args.log_format, Some("text"));
     let log_level: String = reader.value("log-level", args.log_level, Some("info"));
     check_or_exit(reader, args.check);
@@ -100,8 +104,13 @@
         return ExitCode::from(2);
     };
     init_logs(log_format.unwrap_or_default(), &log_level);
-    let options =
-        Options { ticket_lifetime, tickets_max: tickets, shards_max: shards, ..Options::new(internal) };
+    let options = Options {
+        ticket_lifetime,
+        tickets_max: tickets,
+        shards_max: shards,
+        bench_relay,
+        ..Options::new(internal)
+    };
     run(threads, async |traffic| {
         let journal = Journal::new(format!("entry@{host}"), Clock::new());
         let follower = Follower::spawn(agent, journal.clone());
--- a/crates/entry/src/options.rs
+++ b/crates/entry/src/options.rs
@@ -23,6 +23,8 @@
     pub shards_max: usize,
     /// The longest time budget.
     pub budget_max: Duration,
+    /// The only relay to ask, in place of the owners; benches only.
+    pub bench_relay: Option<SocketAddr>,
 }
 
 impl Options {
@@ -36,6 +38,7 @@
             ticket_answers_max: TICKET_ANSWERS_MAX,
             shards_max: SHARDS_MAX,
             budget_max: BUDGET_MAX,
+            bench_relay: None,
         }
     }
 }
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -12,8 +12,8 @@
 use egret_model::{Fingerprint, MissCause, SnapshotShards};
 
 use crate::{
-    Decision, Finish, Held, LatencyWindow, Offer, Offered, Refused, Report, TokenBucket, Work, WorkId,
-    queue::WorkQueue, replica::Replica,
+    Baseline, Decision, Finish, Held, LatencyWindow, Offer, Offered, Refused, Report, TokenBucket, Work,
+    WorkId, baseline::FIXED_HEDGE_DELAY, queue::WorkQueue, replica::Replica,
 };
 
 const HEDGE_QUANTILE: f64 = 0.95;
@@ -34,11 +34,13 @@
     pub hedge_percent: f64,
     /// Retries as a percentage of sub-requests.
     pub retry_percent: f64,
+    /// A simple design to compare with; benches only.
+    pub baseline: Baseline,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { slots: 2, queue: 1024, hedge_percent: 2.0, retry_percent: 10.0 }
+        Self { slots: 2, queue: 1024, hedge_percent: 2.0, retry_percent: 10.0, baseline: Baseline::None }
     }
 }
 
@@ -193,7 +195,10 @@
     }
 
     /// Offers work: it starts, waits or is refused.
-    pub fn offer(&mut self, now: Instant, work: Work) -> Offered {
+    pub fn offer(&mut self, now: Instant, mut work: Work) -> Offered {
+        if self.limits.baseline == Baseline::Arrival {
+            work.rank = 1;
+        }
         if let Some(refused) = self.refusal(now, &work) {
             return Offered { offer: Offer::Refused(refused), decisions: Vec::new() };
         }
@@ -252,6 +257,9 @@
     /// Returns how long an attempt may run before a hedge makes sense.
     #[must_use]
     pub fn hedge_delay(&self) -> Option<Duration> {
+        if self.limits.baseline == Baseline::FixedHedge {
+            return Some(FIXED_HEDGE_DELAY);
+        }
         let known = self.latency.len() >= HEDGE_SAMPLES_MIN && self.limits.hedge_percent > 0.0;
         known.then(|| self.latency.quantile(HEDGE_QUANTILE)).flatten()
     }
@@ -271,7 +279,7 @@
         }
         let others = without(replicas, tried);
         let address = self.choose(now, &others, None)?;
-        if !self.hedges.spend() {
+        if self.limits.baseline != Baseline::FixedHedge && !self.hedges.spend() {
             return None;
         }
         self.start(address, unproven);
@@ -341,11 +349,16 @@
         let fit: Vec<_> = live.iter().filter(|replica| !replica.is_ejected(now)).collect();
         let pool: Vec<_> = if fit.is_empty() { live.iter().collect() } else { fit };
         let usual = self.latency.mean();
-        pool.into_iter()
+        let free = pool
+            .into_iter()
             .filter(|replica| running.is_empty() || running.contains(&replica.address))
-            .filter(|replica| replica.has_free_slot(self.limits.slots))
-            .min_by_key(|replica| (replica.cost(now, usual), replica.starts))
-            .map(|replica| replica.address)
+            .filter(|replica| replica.has_free_slot(self.limits.slots));
+        let best = if self.limits.baseline == Baseline::Random {
+            free.min_by_key(|_| fastrand::u32(..))
+        } else {
+            free.min_by_key(|replica| (replica.cost(now, usual), replica.starts))
+        };
+        best.map(|replica| replica.address)
     }
 
     fn start(&mut self, address: SocketAddr, unproven: Option<Fingerprint>) {
@@ -386,6 +399,9 @@
 
     /// Returns a refusal where work with so much ahead of it cannot end in time.
     fn overload(&self, now: Instant, ahead: usize, deadline: Instant) -> Option<Refused> {
+        if self.limits.baseline == Baseline::Arrival {
+            return None;
+        }
         let wait = self.expected_wait(now, ahead);
         let late = now + wait + self.latency.mean() > deadline;
         late.then(|| self.overloaded(now))
@@ -429,7 +445,10 @@
     /// Ejects a replica that is far slower than the service's other replicas.
     fn eject_slow(&mut self, now: Instant, at: usize) {
         let replica = &self.replicas[at];
-        if replica.latency.len() < SLOW_SAMPLES_MIN || replica.is_ejected(now) {
+        if self.limits.baseline == Baseline::Random
+            || replica.latency.len() < SLOW_SAMPLES_MIN
+            || replica.is_ejected(now)
+        {
             return;
         }
         let others = self.replicas.iter().filter(|other| {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -36,6 +36,7 @@
 //!
 //! docs/DESIGN.md says for each what was weighed.
 
+mod baseline;
 mod dispatcher;
 mod latency;
 mod owner;
@@ -50,6 +51,7 @@
 mod token_bucket;
 mod work;
 
+pub use baseline::{Baseline, BaselineError};
 pub use dispatcher::{Dispatcher, Limits};
 pub use latency::LatencyWindow;
 pub use owner::{CANDIDATES, RelayHost, candidates};
--- /dev/null
+++ b/crates/proofs/examples/bench/cases.rs
@@ -0,0 +1,241 @@
+//! The cases. All variants of a case run in turn with the same seed and load.
+
+use std::{sync::Arc, time::Duration};
+
+use egret_client::Query;
+use egret_proofs::{Fleet, Role, Shape};
+use egret_standin::Behaviour;
+use egret_tools::load::{Plan, Report, run};
+use nix::sys::signal::Signal;
+use tokio::time::{Instant, sleep};
+
+use crate::row::{Begin, Row};
+
+const SEED: u64 = 1;
+const LENGTH: Duration = Duration::from_secs(8);
+const SERVICE_US: u64 = 20_000;
+const CONNECT_US: u64 = 6_000;
+/// Queries per second that the slots of every service carry: 2 replicas of 2 slots at 20 ms.
+const SLOTS_CARRY: f64 = 200.0;
+
+fn usual() -> Behaviour {
+    Behaviour {
+        slots: 2,
+        service_us: SERVICE_US,
+        connect_us: CONNECT_US,
+        records: 20,
+        ..Behaviour::default()
+    }
+}
+
+fn shape(services: usize, baseline: &'static str) -> Shape {
+    Shape { services, shards: 1, baseline, behaviour: usual(), ..Shape::default() }
+}
+
+fn plan(rate: f64, budget_ms: u64) -> Plan {
+    Plan {
+        group: "desk".to_owned(),
+        class: "lookup".to_owned(),
+        body: r#"{"field":"nizwa","limit":1,"n":%N}"#.to_owned(),
+        budget: Duration::from_millis(budget_ms),
+        rate,
+        length: LENGTH,
+        seed: SEED,
+        non_idempotent: false,
+    }
+}
+
+async fn load(fleet: &Fleet, plan: &Plan) -> Report {
+    run(&fleet.client(), plan).await.expect("the plan is valid")
+}
+
+/// Lets connections open and latencies be learned.
+async fn warm_up(fleet: &Fleet, rate: f64) {
+    let plan = Plan { length: Duration::from_secs(3), ..plan(rate, 1000) };
+    load(fleet, &plan).await;
+}
+
+/// A lone caller: what the tier adds to a direct call, without added delays.
+pub(crate) async fn idle() -> Vec<Row> {
+    let behaviour = Behaviour { service_us: 0, connect_us: 0, ..usual() };
+    let fleet = Fleet::start(Shape { services: 1, shards: 1, behaviour, ..Shape::default() }).await;
+    warm_up(&fleet, 50.0).await;
+    let begin = Begin::now(&fleet);
+    let report = load(&fleet, &plan(50.0, 1000)).await;
+    let tier = begin.row(&fleet, "idle", "tier", &report);
+    let begin = Begin::now(&fleet);
+    let client = egret_node::HttpClient::open(4);
+    let mut direct = Report::default();
+    let answer = fleet.client().query_once(&fleet.lookup(1)).await.expect("the fleet serves");
+    for _ in 0..400 {
+        let started = Instant::now();
+        let target = fleet.targets[0][0].address();
+        let _ = client
+            .post_json(target, egret_wire::SEARCH_PATH, &direct_request(), Duration::from_secs(1))
+            .await;
+        direct.add(started.elapsed(), Duration::from_secs(1), &Ok(answer.clone()));
+        sleep(Duration::from_millis(20)).await;
+    }
+    vec![tier, begin.row(&fleet, "idle", "direct call", &direct)]
+}
+
+fn direct_request() -> serde_json::Value {
+    serde_json::json!({
+        "query": "1", "origin": "1", "attempt": 1, "service": "desk-00", "snapshot": 1, "placement": 1,
+        "shards": ["s0"], "class": "lookup", "budget_ms": 1000, "idempotent": true,
+        "body": {"field": "nizwa", "limit": 1}
+    })
+}
+
+/// Half of what the slots carry.
+pub(crate) async fn calm() -> Vec<Row> {
+    let mut rows = Vec::new();
+    for baseline in ["none", "random", "direct"] {
+        let fleet = Fleet::start(shape(10, baseline)).await;
+        warm_up(&fleet, 50.0).await;
+        let begin = Begin::now(&fleet);
+        let report = load(&fleet, &plan(SLOTS_CARRY / 2.0, 1000)).await;
+        rows.push(begin.row(&fleet, "calm", name(baseline), &report));
+    }
+    rows
+}
+
+/// One replica of 1 service in 20 is 10 times slower, and 5 in 100 of its replies 50 times.
+pub(crate) async fn straggler() -> Vec<Row> {
+    let mut rows = Vec::new();
+    for baseline in ["none", "random", "fixed-hedge", "direct"] {
+        let fleet = Fleet::start(shape(20, baseline)).await;
+        warm_up(&fleet, 30.0).await;
+        let slow = Behaviour { service_us: SERVICE_US * 10, slow_share: 0.05, slow_factor: 5.0, ..usual() };
+        fleet.targets[0][0].set(slow);
+        let begin = Begin::now(&fleet);
+        let report = load(&fleet, &plan(60.0, 2000)).await;
+        rows.push(begin.row(&fleet, "straggler", name(baseline), &report));
+    }
+    rows
+}
+
+/// A replica is lost in the middle and comes back cold.
+pub(crate) async fn lost() -> Vec<Row> {
+    let mut rows = Vec::new();
+    for baseline in ["none", "random"] {
+        let fleet = Arc::new(Fleet::start(shape(10, baseline)).await);
+        warm_up(&fleet, 50.0).await;
+        let faulty = Arc::clone(&fleet);
+        tokio::spawn(async move {
+            sleep(Duration::from_secs(2)).await;
+            faulty.targets[0][0].crash();
+        });
+        let begin = Begin::now(&fleet);
+        let report = load(&fleet, &plan(50.0, 500)).await;
+        rows.push(begin.row(&fleet, "replica lost", name(baseline), &report));
+    }
+    rows
+}
+
+/// More than the slots carry, in classes: a quarter of what they carry is of the first class.
+pub(crate) async fn overload() -> Vec<Row> {
+    let mut rows = Vec::new();
+    for (label, share) in [("100%", 1.0), ("120%", 1.2), ("200%", 2.0)] {
+        for baseline in ["none", "arrival", "direct"] {
+            let shape = Shape { below_minimum: "refuse", min_coverage: 1.0, ..shape(5, baseline) };
+            let fleet = Fleet::start(shape).await;
+            warm_up(&fleet, 50.0).await;
+            let begin = Begin::now(&fleet);
+            let first = plan(SLOTS_CARRY * 0.25, 300);
+            let rest =
+                Plan { class: "archive".to_owned(), seed: 2, ..plan(SLOTS_CARRY * (share - 0.25), 300) };
+            let (first, rest) = tokio::join!(load(&fleet, &first), load(&fleet, &rest));
+            let case = format!("overload {label}");
+            rows.push(begin.row(&fleet, &case, &format!("{}, first class", name(baseline)), &first));
+            rows.push(begin.row(&fleet, &case, &format!("{}, last class", name(baseline)), &rest));
+        }
+    }
+    rows
+}
+
+/// Impatient callers send again at once, then the storm ends.
+pub(crate) async fn storm() -> Vec<Row> {
+    let mut rows = Vec::new();
+    for baseline in ["none", "arrival"] {
+        let shape = Shape { below_minimum: "refuse", min_coverage: 1.0, ..shape(5, baseline) };
+        let fleet = Arc::new(Fleet::start(shape).await);
+        warm_up(&fleet, 50.0).await;
+        let begin = Begin::now(&fleet);
+        let before = fleet.executions().len();
+        let end = Instant::now() + LENGTH;
+        let mut callers = tokio::task::JoinSet::new();
+        let client = fleet.client();
+        for caller in 0..60_u64 {
+            let (client, fleet) = (client.clone(), Arc::clone(&fleet));
+            callers.spawn(async move {
+                let mut number = caller * 1_000_000;
+                let mut ends = Vec::new();
+                while Instant::now() < end {
+                    number += 1;
+                    let started = Instant::now();
+                    let query = fleet.lookup(number).budget(Duration::from_millis(100));
+                    let result = client.query_once(&query).await;
+                    ends.push((started.elapsed(), result));
+                    // The caller ignores when to come back, but for the blink of a network.
+                    sleep(Duration::from_millis(3)).await;
+                }
+                ends
+            });
+        }
+        let mut report = Report::default();
+        for (took, result) in callers.join_all().await.into_iter().flatten() {
+            report.add(took, Duration::from_millis(100), &result);
+        }
+        let attempts = (fleet.executions().len() - before) as f64;
+        let carried = SLOTS_CARRY * 5.0 * LENGTH.as_secs_f64();
+        let label = format!("{}, attempts {:.2} of what slots carry", name(baseline), attempts / carried);
+        rows.push(begin.row(&fleet, "storm", &label, &report));
+        let begin = Begin::now(&fleet);
+        let after = load(&fleet, &Plan { length: Duration::from_secs(4), ..plan(50.0, 300) }).await;
+        rows.push(begin.row(&fleet, "after the storm", name(baseline), &after));
+    }
+    rows
+}
+
+/// A relay's host is lost in the middle.
+pub(crate) async fn relay_lost() -> Vec<Row> {
+    let fleet = Arc::new(Fleet::start(Shape { hosts: 4, ..shape(10, "none") }).await);
+    warm_up(&fleet, 50.0).await;
+    let faulty = Arc::clone(&fleet);
+    tokio::spawn(async move {
+        sleep(Duration::from_secs(2)).await;
+        faulty.signal(0, Role::Relay, Signal::SIGKILL);
+        sleep(Duration::from_secs(2)).await;
+        faulty.signal(1, Role::Relay, Signal::SIGSTOP);
+        sleep(Duration::from_secs(2)).await;
+        faulty.signal(1, Role::Relay, Signal::SIGCONT);
+    });
+    let begin = Begin::now(&fleet);
+    let report = load(&fleet, &plan(50.0, 500)).await;
+    vec![begin.row(&fleet, "relay lost", "one killed, one paused 2 s", &report)]
+}
+
+/// A request that crashes targets is sent again and again beside normal work.
+pub(crate) async fn crashing() -> Vec<Row> {
+    let behaviour = Behaviour { crash_on: Some("crash-me".to_owned()), ..usual() };
+    let fleet = Arc::new(Fleet::start(Shape { behaviour, ..shape(10, "none") }).await);
+    warm_up(&fleet, 50.0).await;
+    let crasher = Arc::clone(&fleet);
+    let sender = tokio::spawn(async move {
+        let query = Query::service("desk-00", "lookup", r#"{"crash-me":1}"#).expect("the query is valid");
+        loop {
+            let _ = crasher.client().query_once(&query).await;
+            sleep(Duration::from_millis(50)).await;
+        }
+    });
+    let begin = Begin::now(&fleet);
+    let report = load(&fleet, &plan(50.0, 500)).await;
+    sender.abort();
+    let crashes: u64 = fleet.targets.iter().flatten().map(egret_standin::Target::crashes).sum();
+    vec![begin.row(&fleet, "crashing request", &format!("{crashes} crashes"), &report)]
+}
+
+fn name(baseline: &'static str) -> &'static str {
+    if baseline == "none" { "egretcross" } else { baseline }
+}
--- /dev/null
+++ b/crates/proofs/examples/bench/main.rs
@@ -0,0 +1,55 @@
+//! The bench: cases with baselines, run in turn.
+//!
+//! `scripts/bench [--out FILE] [--compare OLD] [CASE…]` starts it; docs/measurements/
+//! keeps its results.
+
+mod cases;
+mod row;
+mod slopes;
+
+use row::Row;
+
+const CASES: [&str; 9] =
+    ["idle", "calm", "straggler", "lost", "overload", "storm", "relay-lost", "crashing", "slopes"];
+
+#[tokio::main]
+async fn main() {
+    let mut args = std::env::args().skip(1);
+    let (mut wanted, mut out, mut compare) = (Vec::new(), None, None);
+    while let Some(arg) = args.next() {
+        match arg.as_str() {
+            "--out" => out = args.next(),
+            "--compare" => compare = args.next(),
+            case if CASES.contains(&case) => wanted.push(case.to_owned()),
+            other => {
+                eprintln!("{other} is no case: give some of {}", CASES.join(", "));
+                std::process::exit(2);
+            }
+        }
+    }
+    if wanted.is_empty() {
+        wanted = CASES.iter().map(|&case| case.to_owned()).collect();
+    }
+    let mut rows: Vec<Row> = Vec::new();
+    println!("{}", Row::heading());
+    for case in wanted {
+        rows.extend(match case.as_str() {
+            "idle" => cases::idle().await,
+            "calm" => cases::calm().await,
+            "straggler" => cases::straggler().await,
+            "lost" => cases::lost().await,
+            "overload" => cases::overload().await,
+            "storm" => cases::storm().await,
+            "relay-lost" => cases::relay_lost().await,
+            "crashing" => cases::crashing().await,
+            _ => slopes::run().await,
+        });
+    }
+    if let Some(old) = compare.and_then(|path| std::fs::read_to_string(path).ok()) {
+        row::print_ratios(&rows, &serde_json::from_str::<Vec<Row>>(&old).expect("an earlier result"));
+    }
+    if let Some(path) = out {
+        let text = serde_json::to_string_pretty(&rows).expect("rows have a JSON form");
+        std::fs::write(path, text).expect("the result can be written");
+    }
+}
--- /dev/null
+++ b/crates/proofs/examples/bench/slopes.rs
@@ -0,0 +1,113 @@
+//! The slopes behind docs/CAPACITY.md: what a query, a sub-request, a service,
+//! a peer and a change cost, at three sizes each.
+
+use std::time::Duration;
+
+use egret_proofs::{Fleet, Shape};
+use egret_standin::Behaviour;
+use egret_tools::load::{Plan, Report, run as send};
+use tokio::time::sleep;
+
+use crate::row::{Begin, Row};
+
+const LENGTH: Duration = Duration::from_secs(8);
+
+fn shape() -> Shape {
+    let behaviour = Behaviour { slots: 64, service_us: 1000, records: 20, ..Behaviour::default() };
+    Shape { slots: 64, shards: 1, behaviour, ..Shape::default() }
+}
+
+async fn load(fleet: &Fleet, rate: f64) -> Report {
+    let plan = Plan {
+        group: "desk".to_owned(),
+        class: "lookup".to_owned(),
+        body: r#"{"field":"nizwa","limit":1,"n":%N}"#.to_owned(),
+        budget: Duration::from_millis(1000),
+        rate,
+        length: LENGTH,
+        seed: 1,
+        non_idempotent: false,
+    };
+    send(&fleet.client(), &plan).await.expect("the plan is valid")
+}
+
+async fn run_rates() -> Vec<Row> {
+    let mut rows = Vec::new();
+    let fleet = Fleet::start(Shape { services: 10, ..shape() }).await;
+    for rate in [25.0, 50.0, 100.0, 200.0] {
+        let begin = Begin::now(&fleet);
+        let report = load(&fleet, rate).await;
+        rows.push(begin.row(&fleet, "queries a second", &format!("{rate}, 10 services"), &report));
+    }
+    rows
+}
+
+/// The fan-out grows at a fixed rate of queries.
+async fn run_fan_out() -> Vec<Row> {
+    let mut rows = Vec::new();
+    for services in [5, 10, 20, 40] {
+        let fleet = Fleet::start(Shape { services, ..shape() }).await;
+        let begin = Begin::now(&fleet);
+        let report = load(&fleet, 50.0).await;
+        rows.push(begin.row(&fleet, "fan-out", &format!("{services} services, 50 queries/s"), &report));
+    }
+    rows
+}
+
+/// Several shards travel in one exchange with a target.
+async fn run_batch() -> Vec<Row> {
+    let mut rows = Vec::new();
+    for shards in [1, 4, 16] {
+        let fleet = Fleet::start(Shape { services: 10, shards, ..shape() }).await;
+        let begin = Begin::now(&fleet);
+        let report = load(&fleet, 50.0).await;
+        rows.push(begin.row(
+            &fleet,
+            "shards an exchange",
+            &format!("{shards}, 10 services, 50 queries/s"),
+            &report,
+        ));
+    }
+    rows
+}
+
+/// No queries: control alone, by services known and by hosts.
+async fn run_control() -> Vec<Row> {
+    let mut rows = Vec::new();
+    for (services, hosts) in [(10, 3), (50, 3), (200, 3), (10, 6), (10, 12)] {
+        let fleet = Fleet::start(Shape { services, hosts, ..shape() }).await;
+        sleep(Duration::from_secs(2)).await;
+        let begin = Begin::now(&fleet);
+        sleep(LENGTH).await;
+        let variant = format!("{services} services, {hosts} hosts, no queries");
+        rows.push(begin.row(&fleet, "control", &variant, &Report::default()));
+    }
+    rows
+}
+
+/// Changes of one service, one every 250 ms.
+async fn run_changes() -> Vec<Row> {
+    let mut rows = Vec::new();
+    for services in [10, 50, 200] {
+        let fleet = Fleet::start(Shape { services, ..shape() }).await;
+        sleep(Duration::from_secs(2)).await;
+        let begin = Begin::now(&fleet);
+        let changes = 32;
+        for change in 0..changes {
+            fleet.publish_one(change % services);
+            sleep(LENGTH / changes as u32).await;
+        }
+        let variant = format!("{services} services, {changes} changes in {} s", LENGTH.as_secs());
+        rows.push(begin.row(&fleet, "changes", &variant, &Report::default()));
+    }
+    rows
+}
+
+pub(crate) async fn run() -> Vec<Row> {
+    let mut rows = run_rates().await;
+    rows.extend(run_fan_out().await);
+    rows.extend(run_batch().await);
+    rows.extend(run_control().await);
+    rows.extend(run_changes().await);
+    rows
+}
--- a/crates/proofs/src/daemon.rs
+++ b/crates/proofs/src/daemon.rs
@@ -21,6 +21,15 @@
     Entry,
 }
 
+/// What a process used so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Usage {
+    /// Processor time in seconds.
+    pub cpu_secs: f64,
+    /// Resident memory in megabytes.
+    pub rss_mb: f64,
+}
+
 /// A running daemon; dropping it kills it.
 #[derive(Debug)]
 pub struct Daemon {
@@ -65,6 +74,18 @@
         self.child.try_wait().ok().flatten().and_then(|status| status.code())
     }
 
+    /// Returns what the process used so far.
+    #[must_use]
+    pub fn usage(&self) -> Usage {
+        const TICKS_PER_SECOND: f64 = 100.0;
+        const PAGE_MB: f64 = 4096.0 / 1_048_576.0;
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.id())).unwrap_or_default();
+        let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+        let field = |at: usize| fields.get(at).and_then(|field| field.parse::<f64>().ok()).unwrap_or(0.0);
+        // Fields 14, 15 and 24 of the line; the first two stand before the bracket.
+        Usage { cpu_secs: (field(11) + field(12)) / TICKS_PER_SECOND, rss_mb: field(21) * PAGE_MB }
+    }
+
     /// Returns the process's identifier.
     #[must_use]
     pub fn id(&self) -> u32 {
--- a/crates/proofs/src/declare.rs
+++ b/crates/proofs/src/declare.rs
@@ -27,6 +27,8 @@
     pub targets: Vec<Vec<SocketAddr>>,
     /// The declared snapshots.
     pub snapshots: Vec<SnapshotPlan>,
+    /// More connections of single services, as the test changes them one by one.
+    pub more_connections: Vec<u16>,
 }
 
 const DATA_CENTRES: [&str; 3] = ["seeb", "rusayl", "barka"];
@@ -48,8 +50,11 @@
         let shape = &self.shape;
         let name = service_name(service);
         let mut text = format!(
-            "service = \"{name}\"\ngroup = \"desk\"\nslots = {}\nconnections = 60\nretry_percent = {:?}\nhedge_percent = {:?}\n",
-            shape.slots, shape.retry_percent, shape.hedge_percent
+            "service = \"{name}\"\ngroup = \"desk\"\nslots = {}\nconnections = {}\nretry_percent = {:?}\nhedge_percent = {:?}\n",
+            shape.slots,
+            200 + self.more_connections[service],
+            shape.retry_percent,
+            shape.hedge_percent
         );
         for (class, rank) in [("lookup", 1), ("file", 2), ("archive", 3)] {
             let _ = write!(
@@ -85,7 +90,7 @@
     let targets =
         vec![vec![SocketAddr::from(([127, 0, 0, 1], 7100)), SocketAddr::from(([127, 0, 0, 1], 7101))]];
     let first = SnapshotPlan { id: 1, turn: 0, shards: 2 };
-    Declared { shape: Shape::default(), targets, snapshots: vec![first] }.text(0)
+    Declared { shape: Shape::default(), targets, snapshots: vec![first], more_connections: vec![0] }.text(0)
 }
 
 /// Names a service of a test fleet.
--- a/crates/proofs/src/fleet.rs
+++ b/crates/proofs/src/fleet.rs
@@ -22,7 +22,7 @@
     time::{Instant, sleep},
 };
 
-use crate::{Daemon, Declared, Role, Shape, SnapshotPlan};
+use crate::{Daemon, Declared, Role, Shape, SnapshotPlan, Usage};
 
 const PLATFORM_PORT: u16 = 7000;
 const TARGET_PORT: u16 = 7100;
@@ -101,7 +101,9 @@
         let first = SnapshotPlan { id: 1, turn: 0, shards: shape.shards };
         let addresses =
             targets.iter().map(|replicas| replicas.iter().map(Target::address).collect()).collect();
-        let declared = Declared { shape: shape.clone(), targets: addresses, snapshots: vec![first] };
+        let more_connections = vec![0; shape.services];
+        let declared =
+            Declared { shape: shape.clone(), targets: addresses, snapshots: vec![first], more_connections };
         let hosts = host_list(network, shape.hosts);
         publish_hosts(&platform, &hosts);
         let config = declared.config(1);
@@ -159,12 +161,18 @@
                     .collect()
             }
             Role::Relay => {
-                own(&["--host", &name, "--listen", &listen, "--agent", &agent, "--notice-ms", "500"])
+                let mut flags = own(&["--host", &name, "--listen", &listen, "--agent", &agent]);
+                flags.extend(own(&["--notice-ms", "500", "--bench-baseline", self.shape.baseline]));
+                flags
             }
             Role::Entry => {
                 let internal = self.internal_address(host).to_string();
                 let mut flags = own(&["--host", &name, "--listen", &listen, "--agent", &agent]);
                 flags.extend(own(&["--internal", &internal, "--notice-ms", "500"]));
+                if self.shape.baseline == "direct" {
+                    let relay = self.address(host, Role::Relay).to_string();
+                    flags.extend(own(&["--bench-relay", &relay]));
+                }
                 flags.extend(self.shape.entry_flags.iter().cloned());
                 flags
             }
@@ -244,6 +252,13 @@
         text.lines().filter(|line| line.starts_with(name)).filter_map(value).sum()
     }
 
+    /// Returns the processor time and memory of one daemon.
+    #[must_use]
+    pub fn usage(&self, host: usize, role: Role) -> Usage {
+        let daemons = self.daemons.lock().unwrap_or_else(PoisonError::into_inner);
+        daemons[host][index(role)].as_ref().map(Daemon::usage).unwrap_or_default()
+    }
+
     /// Returns a client of all entries.
     #[must_use]
     pub fn client(&self) -> Client {
@@ -277,6 +292,11 @@
         version
     }
 
+    /// Publishes a change of one service.
+    pub fn publish_one(&self, service: usize) -> u64 {
+        self.publish(|declared| declared.more_connections[service] += 1)
+    }
+
     /// Changes the host list and publishes it.
     pub fn publish_hosts(&self, change: impl FnOnce(&mut HostList)) {
         let mut published = self.published.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/proofs/src/lib.rs
+++ b/crates/proofs/src/lib.rs
@@ -26,7 +26,7 @@
 mod shape;
 
 pub use check::{check_answer, executions_of, expected_hits};
-pub use daemon::{Daemon, Role, binary};
+pub use daemon::{Daemon, Role, Usage, binary};
 pub use declare::{Declared, SnapshotPlan, example_declaration};
 pub use fleet::Fleet;
 pub use forwarder::{Forwarder, Passing};
--- a/crates/proofs/src/shape.rs
+++ b/crates/proofs/src/shape.rs
@@ -31,6 +31,8 @@
     pub behaviour: Behaviour,
     /// More settings of entries.
     pub entry_flags: Vec<String>,
+    /// The simple design that relays run in place of the product's decisions.
+    pub baseline: &'static str,
 }
 
 impl Default for Shape {
@@ -49,6 +51,7 @@
             hedge_percent: 2.0,
             behaviour: Behaviour { slots: 2, service_us: 2000, records: 20, ..Behaviour::default() },
             entry_flags: Vec::new(),
+            baseline: "none",
         }
     }
 }
--- a/crates/proofs/tests/configuration.rs
+++ b/crates/proofs/tests/configuration.rs
@@ -46,7 +46,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn versions_never_revert_while_the_platform_flaps() {
     let fleet = Fleet::start(Shape { hosts: 4, ..Shape::default() }).await;
-    let mut newest = vec![0; 8];
+    let mut newest = [0; 8];
     for round in 0..6 {
         let version = fleet.publish(|declared| declared.shape.slots += 1);
         let stale = if round % 2 == 0 { PlatformMode::Stale } else { PlatformMode::Down };
--- a/crates/proofs/tests/soak.rs
+++ b/crates/proofs/tests/soak.rs
@@ -89,7 +89,7 @@
             }
             Fault::Crash(service, replica) => fleet.targets[service][replica].crash(),
             Fault::Publish => {
-                drop(fleet.publish(|declared| declared.shape.slots = 2 + declared.shape.slots % 3))
+                fleet.publish(|declared| declared.shape.slots = 2 + declared.shape.slots % 3);
             }
             Fault::NextSnapshot => self.next_snapshot(lasts).await,
             Fault::Slow(service, replica)
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,7 +10,7 @@
 //! use egret_relay::Relay;
 //!
 //! # async fn start(traffic: tokio::runtime::Handle, follower: Follower, journal: egret_events::Journal) {
-//! let relay = Relay::spawn("seeb-1".parse().unwrap(), follower, journal, traffic.clone());
+//! let relay = Relay::spawn("seeb-1".parse().unwrap(), follower, journal, traffic.clone(), Default::default());
 //! let address = "127.0.0.1:7300".parse().unwrap();
 //! let server = HttpServer::bind(&traffic, address, HttpLimits::default(), relay.site()).await;
 //! # }
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -6,6 +6,7 @@
 use egret_events::{Clock, Code, Journal};
 use egret_model::HostName;
 use egret_node::{Follower, HttpLimits, HttpServer, LogFormat, init_logs, run, stop_signal};
+use egret_policy::Baseline;
 use egret_relay::Relay;
 use egret_settings::{Environment, Reader, check_or_exit};
 
@@ -38,6 +39,9 @@
     /// least log level: error, warn, info or debug (default info)
     #[argh(option)]
     log_level: Option<String>,
+    /// simple design to compare with, for benches only (default none)
+    #[argh(option)]
+    bench_baseline: Option<String>,
     /// print the effective settings and exit
     #[argh(switch)]
     check: bool,
@@ -52,6 +56,7 @@
     let threads = reader.number("threads", args.threads, "2", 1..=64) as usize;
     let notice = Duration::from_millis(reader.number("notice-ms", args.notice_ms, "2000", 0..=600_000));
     let grace = Duration::from_millis(reader.number("grace-ms", args.grace_ms, "5000", 0..=600_000));
+    let baseline: Baseline = reader.value("bench-baseline", args.bench_baseline, Some("none"));
     let log_format: Option<LogFormat> = reader.optional("log-format", args.log_format, Some("text"));
     let log_level: String = reader.value("log-level", args.log_level, Some("info"));
     check_or_exit(reader, args.check);
@@ -60,7 +65,7 @@
     run(threads, async |traffic| {
         let journal = Journal::new(format!("relay@{host}"), Clock::new());
         let follower = Follower::spawn(agent, journal.clone());
-        let relay = Relay::spawn(host, follower, journal.clone(), traffic.clone());
+        let relay = Relay::spawn(host, follower, journal.clone(), traffic.clone(), baseline);
         let server = match HttpServer::bind(&traffic, address, HttpLimits::internal(), relay.site()).await {
             Ok(server) => server,
             Err(error) => {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -12,7 +12,7 @@
 use egret_events::{Code, Journal};
 use egret_model::{BlockName, Fingerprint, HostName, Incarnation, ServiceName};
 use egret_node::{Follower, HttpClient, Ops, View, new_incarnation};
-use egret_policy::{PauseDetector, Suspects};
+use egret_policy::{Baseline, PauseDetector, Suspects};
 use egret_wire::{MARK_PATH, Mark, Scatter, ScatterReply};
 use tokio::runtime::Handle;
 
@@ -38,6 +38,7 @@
 #[derive(Debug)]
 struct Inner {
     host: HostName,
+    baseline: Baseline,
     incarnation: Incarnation,
     follower: Follower,
     ops: Ops,
@@ -52,11 +53,18 @@
 impl Relay {
     /// Starts a relay: control on the current runtime, targets on `traffic`.
     #[must_use]
-    pub fn spawn(host: HostName, follower: Follower, journal: Journal, traffic: Handle) -> Self {
+    pub fn spawn(
+        host: HostName,
+        follower: Follower,
+        journal: Journal,
+        traffic: Handle,
+        baseline: Baseline,
+    ) -> Self {
         let ops = Ops::new(journal);
         let instruments = Instruments::open(&ops.metrics);
         let inner = Inner {
             host,
+            baseline,
             incarnation: new_incarnation(),
             follower,
             ops,
@@ -187,11 +195,11 @@
         for service in view.config.services() {
             let mine =
                 view.block(&service.block).is_some_and(|block| block.has_candidate(self.inner.host.as_str()));
-            if !mine {
+            if !mine && self.inner.baseline != Baseline::Direct {
                 continue;
             }
             let state = find_service(&old, &service.name)
-                .unwrap_or_else(|| Arc::new(ServiceState::new(Arc::clone(service))));
+                .unwrap_or_else(|| Arc::new(ServiceState::new(Arc::clone(service), self.inner.baseline)));
             state.configure(service, &view.hosts);
             services.push(state);
         }
--- a/crates/relay/src/service_state.rs
+++ b/crates/relay/src/service_state.rs
@@ -8,7 +8,9 @@
 
 use egret_conf::{HostList, Service};
 use egret_model::{Fingerprint, ServiceName, ShardName, SnapshotId, SnapshotShards};
-use egret_policy::{Decision, Dispatcher, Finish, Held, Limits, Offer, Refused, Report, Work, WorkId};
+use egret_policy::{
+    Baseline, Decision, Dispatcher, Finish, Held, Limits, Offer, Refused, Report, Work, WorkId,
+};
 use tokio::sync::oneshot;
 
 use crate::slot::{Slot, now};
@@ -41,6 +43,7 @@
 #[derive(Debug)]
 struct Inner {
     service: Arc<Service>,
+    baseline: Baseline,
     dispatcher: Dispatcher,
     waiting: Vec<Waiting>,
     next_id: u64,
@@ -66,10 +69,11 @@
 }
 
 impl ServiceState {
-    pub(crate) fn new(service: Arc<Service>) -> Self {
+    pub(crate) fn new(service: Arc<Service>, baseline: Baseline) -> Self {
         let inner = Inner {
-            dispatcher: Dispatcher::new(limits(&service)),
+            dispatcher: Dispatcher::new(limits(&service, baseline)),
             service: Arc::clone(&service),
+            baseline,
             waiting: Vec::new(),
             next_id: 0,
             breaks: Vec::new(),
@@ -90,7 +94,8 @@
     pub(crate) fn configure(self: &Arc<Self>, service: &Arc<Service>, hosts: &HostList) {
         let mut inner = self.lock();
         inner.service = Arc::clone(service);
-        inner.dispatcher.set_limits(limits(service));
+        let limits = limits(service, inner.baseline);
+        inner.dispatcher.set_limits(limits);
         let addresses: Vec<SocketAddr> = service.replicas.iter().map(|replica| replica.address).collect();
         let decisions = inner.dispatcher.set_replicas(now(), &addresses);
         for replica in &service.replicas {
@@ -311,12 +316,13 @@
     }
 }
 
-fn limits(service: &Service) -> Limits {
+fn limits(service: &Service, baseline: Baseline) -> Limits {
     Limits {
         slots: service.slots,
         queue: QUEUE_MAX,
         hedge_percent: service.hedge_percent,
         retry_percent: service.retry_percent,
+        baseline,
     }
 }
 
--- a/crates/tools/src/load/mod.rs
+++ b/crates/tools/src/load/mod.rs
@@ -3,5 +3,5 @@
 mod report;
 mod run;
 
-pub use report::Report;
+pub use report::{Numbers, Report};
 pub use run::{Plan, run};
