--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -22,7 +22,7 @@
 use crate::{
     AgentSite, FetchError, Options,
     platform::Platform,
-    policy::{PUSH_PEERS, QUIET_AFTER, WATCH_WAIT, is_watcher, read_backoff},
+    policy::{PUSH_PEERS, QUIET_AFTER, WATCH_PAUSE, WATCH_WAIT, is_watcher, read_backoff},
     source::Source,
     state::AgentState,
 };
@@ -163,6 +163,8 @@
             match self.read(key, watching.then_some(revision)).await {
                 Some(seen) => {
                     (failures, revision) = (0, seen);
+                    // A platform that answers a watch at once must not be asked without pause.
+                    sleep(WATCH_PAUSE).await;
                     continue;
                 }
                 None => failures += 1,
--- a/crates/agent/src/policy.rs
+++ b/crates/agent/src/policy.rs
@@ -17,6 +17,8 @@
 pub(crate) const READ_BACKOFF_MAX: Duration = Duration::from_secs(30);
 /// How long a watch waits before it is renewed.
 pub(crate) const WATCH_WAIT: Duration = Duration::from_millis(2000);
+/// The pause between two watches of one key.
+pub(crate) const WATCH_PAUSE: Duration = Duration::from_millis(50);
 /// Peers that are told about news at once.
 pub(crate) const PUSH_PEERS: usize = 4;
 
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -29,6 +29,8 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 const IDLE_CONNECTIONS: usize = 256;
 const PLANS_MAX: usize = 3;
+/// For requests whose own budget cannot be told, because they break the interface.
+const BUDGET_UNKNOWN: Duration = Duration::from_secs(1);
 const NOT_READY_RETRY_AFTER_MS: u64 = 1000;
 
 /// A running entry; clones share it.
@@ -191,6 +193,13 @@
         }
     }
 
+    /// Returns the time budget of a request: its own, else that of its class.
+    pub(crate) fn budget(&self, request: &QueryRequest) -> Duration {
+        let started = now();
+        let planned = self.plan(&self.inner.follower.view(), QueryId(0), request, started);
+        planned.map_or(BUDGET_UNKNOWN, |plan| plan.deadline.saturating_duration_since(started))
+    }
+
     pub(crate) fn options(&self) -> &Options {
         &self.inner.options
     }
@@ -227,14 +236,18 @@
         let mut relays = self.relays();
         if leaving {
             relays.failed(now(), relay);
-        } else if relays.answered(relay) {
+        } else if relays.answered(now(), relay) {
             drop(relays);
             self.journal().record(Code::RelayUp, None, relay.to_string());
         }
     }
 
     pub(crate) fn relay_failed(&self, relay: SocketAddr, error: &ExchangeError) {
-        if self.relays().failed(now(), relay) {
+        let late = matches!(error, ExchangeError::Timeout { .. });
+        let mut relays = self.relays();
+        let became_down = if late { relays.timed_out(now(), relay) } else { relays.failed(now(), relay) };
+        drop(relays);
+        if became_down {
             self.journal().record(Code::RelayDown, None, error.to_string());
         }
     }
--- a/crates/entry/src/tickets.rs
+++ b/crates/entry/src/tickets.rs
@@ -124,8 +124,7 @@
             }
         }
     };
-    let budget = forward_budget(entry.options(), request);
-    tokio::time::timeout(budget, ended).await.unwrap_or_else(|_| {
+    tokio::time::timeout(entry.budget(request), ended).await.unwrap_or_else(|_| {
         let message = "the request still runs";
         refuse(RefusalKind::Deadline, Ran::Unknown, message, Some(LOST_RETRY_AFTER_MS))
     })
@@ -137,7 +136,7 @@
         return lost("the ticket's home is not in the host list");
     }
     entry.journal().record(Code::TicketForwarded, None, format!("to {home}"));
-    let within = forward_budget(entry.options(), request) + FORWARD_MARGIN;
+    let within = entry.budget(request) + FORWARD_MARGIN;
     match entry.client().post_json(home, FORWARD_PATH, request, within).await {
         Ok(exchange) => match serde_json::from_slice::<Box<serde_json::value::RawValue>>(&exchange.body) {
             Ok(body) => Reply::json(exchange.status, &body).retry_after_ms(retry_after(&exchange.body)),
@@ -152,12 +151,6 @@
     serde_json::from_slice::<RefusalBody>(body).ok()?.retry_after_ms
 }
 
-fn forward_budget(options: &Options, request: &QueryRequest) -> Duration {
-    request
-        .budget_ms
-        .map_or(options.budget_max, |ms| Duration::from_millis(u64::from(ms)).min(options.budget_max))
-}
-
 /// Hashes everything that a ticket is bound to.
 fn fingerprint(request: &QueryRequest) -> Fingerprint {
     let unbound = QueryRequest { ticket: None, budget_ms: None, ..request.clone() };
--- a/crates/policy/src/relay_health.rs
+++ b/crates/policy/src/relay_health.rs
@@ -7,60 +7,83 @@
 
 const DOWN_FIRST: Duration = Duration::from_millis(500);
 const DOWN_DOUBLINGS_MAX: u32 = 4;
+/// A relay that answered anything so lately is slow rather than gone.
+const SILENT_AFTER: Duration = Duration::from_millis(250);
 
 #[derive(Clone, Copy, Debug)]
 struct Down {
-    relay: SocketAddr,
     failures: u32,
     probe_at: Instant,
 }
 
-/// Remembers the relays that failed, until they answer again.
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    relay: SocketAddr,
+    answered_at: Option<Instant>,
+    down: Option<Down>,
+}
+
+/// Remembers when relays answered, and which ones failed until they answer again.
 #[derive(Clone, Debug, Default)]
 pub struct RelayHealth {
-    down: Vec<Down>,
+    relays: Vec<Known>,
 }
 
 impl RelayHealth {
     /// Tells whether a relay takes work.
     #[must_use]
     pub fn is_up(&self, relay: SocketAddr) -> bool {
-        self.find(relay).is_err()
+        self.find(relay).map_or(true, |at| self.relays[at].down.is_none())
     }
 
     /// Notes a failure; returns whether the relay was up before.
     pub fn failed(&mut self, now: Instant, relay: SocketAddr) -> bool {
-        match self.find(relay) {
-            Ok(at) => {
-                let down = &mut self.down[at];
-                down.failures += 1;
-                down.probe_at = now + DOWN_FIRST * 2_u32.pow(down.failures.min(DOWN_DOUBLINGS_MAX));
-                false
-            }
-            Err(at) => {
-                self.down.insert(at, Down { relay, failures: 0, probe_at: now + DOWN_FIRST });
-                true
-            }
-        }
+        let known = self.entry(relay);
+        let failures = known.down.map_or(0, |down| down.failures + 1);
+        let was_up = known.down.is_none();
+        let wait = DOWN_FIRST * 2_u32.pow(failures.min(DOWN_DOUBLINGS_MAX));
+        known.down = Some(Down { failures, probe_at: now + wait });
+        was_up
+    }
+
+    /// Notes an answer that did not come in time; returns whether the relay became down.
+    ///
+    /// One late answer under load must not move the relay's blocks: that would
+    /// load another relay and the targets in turn.
+    pub fn timed_out(&mut self, now: Instant, relay: SocketAddr) -> bool {
+        let answered = self.entry(relay).answered_at;
+        let silent = answered.is_none_or(|at| now.saturating_duration_since(at) >= SILENT_AFTER);
+        silent && self.failed(now, relay)
     }
 
     /// Notes an answer; returns whether the relay was down before.
-    pub fn answered(&mut self, relay: SocketAddr) -> bool {
-        self.find(relay).map(|at| self.down.remove(at)).is_ok()
+    pub fn answered(&mut self, now: Instant, relay: SocketAddr) -> bool {
+        let known = self.entry(relay);
+        known.answered_at = Some(now);
+        known.down.take().is_some()
     }
 
     /// Lists the relays to probe now.
     #[must_use]
     pub fn to_probe(&self, now: Instant) -> Vec<SocketAddr> {
-        self.down.iter().filter(|down| down.probe_at <= now).map(|down| down.relay).collect()
+        let due = |known: &&Known| known.down.is_some_and(|down| down.probe_at <= now);
+        self.relays.iter().filter(due).map(|known| known.relay).collect()
     }
 
     /// Forgets relays that are no longer listed; `listed` must be sorted.
     pub fn retain(&mut self, listed: &[SocketAddr]) {
-        self.down.retain(|down| listed.binary_search(&down.relay).is_ok());
+        self.relays.retain(|known| listed.binary_search(&known.relay).is_ok());
     }
 
     fn find(&self, relay: SocketAddr) -> Result<usize, usize> {
-        self.down.binary_search_by_key(&relay, |down| down.relay)
+        self.relays.binary_search_by_key(&relay, |known| known.relay)
+    }
+
+    fn entry(&mut self, relay: SocketAddr) -> &mut Known {
+        let at = self.find(relay).unwrap_or_else(|at| {
+            self.relays.insert(at, Known { relay, answered_at: None, down: None });
+            at
+        });
+        &mut self.relays[at]
     }
 }
--- a/crates/proofs/examples/bench/cases.rs
+++ b/crates/proofs/examples/bench/cases.rs
@@ -14,6 +14,7 @@
 const SEED: u64 = 1;
 const LENGTH: Duration = Duration::from_secs(8);
 const SERVICE_US: u64 = 20_000;
+const LONE_CALLS: u64 = 400;
 const CONNECT_US: u64 = 6_000;
 /// Queries per second that the slots of every service carry: 2 replicas of 2 slots at 20 ms.
 const SLOTS_CARRY: f64 = 200.0;
@@ -61,13 +62,22 @@
     let fleet = Fleet::start(Shape { services: 1, shards: 1, behaviour, ..Shape::default() }).await;
     warm_up(&fleet, 50.0).await;
     let begin = Begin::now(&fleet);
-    let report = load(&fleet, &plan(50.0, 1000)).await;
+    // Both are timed from the call itself: an intended start would add the timer's millisecond to one of them.
+    let caller = fleet.client();
+    let mut report = Report::default();
+    for number in 0..LONE_CALLS {
+        let query = fleet.lookup(number);
+        let started = Instant::now();
+        let result = caller.query_once(&query).await;
+        report.add(started.elapsed(), Duration::from_secs(1), &result);
+        sleep(Duration::from_millis(20)).await;
+    }
     let tier = begin.row(&fleet, "idle", "tier", &report);
     let begin = Begin::now(&fleet);
     let client = egret_node::HttpClient::open(4);
     let mut direct = Report::default();
     let answer = fleet.client().query_once(&fleet.lookup(1)).await.expect("the fleet serves");
-    for _ in 0..400 {
+    for _ in 0..LONE_CALLS {
         let started = Instant::now();
         let target = fleet.targets[0][0].address();
         let _ = client
@@ -87,6 +97,15 @@
     })
 }
 
+/// The first queries after the start, with connections that take 6 ms to open.
+pub(crate) async fn cold() -> Vec<Row> {
+    let fleet = Fleet::start(shape(10, "none")).await;
+    let begin = Begin::now(&fleet);
+    let report =
+        load(&fleet, &Plan { length: Duration::from_secs(1), ..plan(SLOTS_CARRY / 2.0, 1000) }).await;
+    vec![begin.row(&fleet, "cold", "first second", &report)]
+}
+
 /// Half of what the slots carry.
 pub(crate) async fn calm() -> Vec<Row> {
     let mut rows = Vec::new();
--- a/crates/proofs/examples/bench/main.rs
+++ b/crates/proofs/examples/bench/main.rs
@@ -9,8 +9,8 @@
 
 use row::Row;
 
-const CASES: [&str; 9] =
-    ["idle", "calm", "straggler", "lost", "overload", "storm", "relay-lost", "crashing", "slopes"];
+const CASES: [&str; 10] =
+    ["cold", "idle", "calm", "straggler", "lost", "overload", "storm", "relay-lost", "crashing", "slopes"];
 
 #[tokio::main]
 async fn main() {
@@ -34,6 +34,7 @@
     println!("{}", Row::heading());
     for case in wanted {
         rows.extend(match case.as_str() {
+            "cold" => cases::cold().await,
             "idle" => cases::idle().await,
             "calm" => cases::calm().await,
             "straggler" => cases::straggler().await,
--- a/crates/tools/src/load/report.rs
+++ b/crates/tools/src/load/report.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 
 const SIGNIFICANT_DIGITS: u8 = 3;
+const LATENCY_MAX_US: u64 = 120_000_000;
 
 /// Latencies, coverage and extra attempts of one run.
 #[derive(Clone, Debug)]
@@ -53,7 +54,10 @@
 
 impl Default for Report {
     fn default() -> Self {
-        let histogram = || Histogram::new(SIGNIFICANT_DIGITS).expect("the digits are in range");
+        let histogram = || {
+            Histogram::new_with_bounds(1, LATENCY_MAX_US, SIGNIFICANT_DIGITS)
+                .expect("the bounds are in range")
+        };
         Self {
             latency_us: histogram(),
             refusal_us: histogram(),
