Leave slow replicas to waits, refuse hopeless work when it arrives, probe busy targets

Cause 1 (straggler): a free slow replica was taken whenever the fast one was full; an ejected one came back with full slots and needed 16 samples to be ejected again; the hedge delay grew with the slow replica's share. Now a slow replica is used only where it ends earlier than a wait for a faster one, comes back with one request, and the hedge delay is the best replica's quantile. Cause 2 (overload): admission accepted waits that just fit, which later work of the first class pushed out; half of the refusals came after 242 ms. New work may now expect to wait half of its budget, and a query whose refusals decide it is refused before any part is sent. Cause 3 (leaving): replies counted as probes, so a target under steady load that only its health called draining was never asked: 132 requests after the bound in a_draining_target_is_left_with_the_platform_down. Probes now go out every second whatever replies say.

--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -19,6 +19,8 @@
 const HEDGE_QUANTILE: f64 = 0.95;
 const HEDGE_SAMPLES_MIN: usize = 32;
 const SLOW_SAMPLES_MIN: usize = 16;
+/// The share of its budget that work may expect to wait, so that few waits end in vain.
+const WAIT_SHARE_MAX: f64 = 0.5;
 const SLOW_FACTOR: u32 = 4;
 const PROBE_RETRY_AFTER: Duration = Duration::from_millis(500);
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(10);
@@ -147,11 +149,21 @@
         self.poll(now)
     }
 
-    /// Lists the replicas whose last sign of life is older than `interval`.
-    #[must_use]
-    pub fn to_probe(&self, now: Instant, interval: Duration) -> Vec<SocketAddr> {
-        let due = |replica: &&Replica| !replica.removed && !replica.is_confirmed(now, interval);
-        self.replicas.iter().filter(due).map(|replica| replica.address).collect()
+    /// Lists the replicas to probe now, and notes that they are.
+    ///
+    /// Replies confirm that a target works, but only its health says that it will
+    /// leave, so a busy replica is probed as well. One that takes no work is probed
+    /// four times as often, to find its return.
+    pub fn begin_probes(&mut self, now: Instant, interval: Duration) -> Vec<SocketAddr> {
+        let mut due = Vec::new();
+        for replica in self.replicas.iter_mut().filter(|replica| !replica.removed) {
+            let interval = if replica.is_live(now) { interval } else { interval / 4 };
+            if replica.probed_at.is_none_or(|at| now.saturating_duration_since(at) >= interval) {
+                replica.probed_at = Some(now);
+                due.push(replica.address);
+            }
+        }
+        due
     }
 
     /// Tells whether a replica takes new work.
@@ -211,6 +223,14 @@
         self.enqueue(now, work)
     }
 
+    /// Tells, without taking anything, whether work would be refused now.
+    #[must_use]
+    pub fn would_refuse(&self, now: Instant, work: &Work) -> Option<Refused> {
+        let waits = || self.choose(now, &work.replicas, work.unproven).is_none();
+        let admission = || self.admission(now, self.queue.position(work), work.deadline);
+        self.refusal(now, work).or_else(|| if waits() { admission() } else { None })
+    }
+
     /// Withdraws waiting work whose answer is no longer wanted.
     pub fn withdraw(&mut self, id: WorkId) -> bool {
         self.queue.remove(id).is_some()
@@ -260,8 +280,16 @@
         if self.limits.baseline == Baseline::FixedHedge {
             return Some(FIXED_HEDGE_DELAY);
         }
-        let known = self.latency.len() >= HEDGE_SAMPLES_MIN && self.limits.hedge_percent > 0.0;
-        known.then(|| self.latency.quantile(HEDGE_QUANTILE)).flatten()
+        if self.limits.hedge_percent <= 0.0 {
+            return None;
+        }
+        // The quantile over all replicas would grow with the share of a slow one.
+        let known = |replica: &&Replica| replica.latency.len() >= HEDGE_SAMPLES_MIN;
+        self.replicas
+            .iter()
+            .filter(known)
+            .filter_map(|replica| replica.latency.quantile(HEDGE_QUANTILE))
+            .min()
     }
 
     /// Takes a slot for a hedge on a replica other than those `tried`.
@@ -349,10 +377,11 @@
         let fit: Vec<_> = live.iter().filter(|replica| !replica.is_ejected(now)).collect();
         let pool: Vec<_> = if fit.is_empty() { live.iter().collect() } else { fit };
         let usual = self.latency.mean();
+        let best = pool.iter().map(|replica| replica.expected(now, usual)).min().unwrap_or_default();
         let free = pool
-            .into_iter()
+            .iter()
             .filter(|replica| running.is_empty() || running.contains(&replica.address))
-            .filter(|replica| replica.has_free_slot(self.limits.slots));
+            .filter(|replica| replica.has_free_slot(self.limits.slots) && self.is_worth(now, replica, best));
         let best = if self.limits.baseline == Baseline::Random {
             free.min_by_key(|_| fastrand::u32(..))
         } else {
@@ -361,6 +390,16 @@
         best.map(|replica| replica.address)
     }
 
+    /// Tells whether work ends earlier on a free slow replica than after a wait for a faster one.
+    fn is_worth(&self, now: Instant, replica: &Replica, best: Duration) -> bool {
+        if self.limits.baseline == Baseline::Random {
+            return true;
+        }
+        let slots = u32::from(self.limits.slots.max(1));
+        let wait = best * (self.queue.len() as u32 + 1) / slots;
+        replica.expected(now, self.latency.mean()) <= best + wait.max(best)
+    }
+
     fn start(&mut self, address: SocketAddr, unproven: Option<Fingerprint>) {
         self.unproven.extend(unproven.map(|fingerprint| Unproven { fingerprint, address }));
         if let Ok(at) = self.find(address) {
@@ -377,7 +416,7 @@
 
     fn enqueue(&mut self, now: Instant, work: Work) -> Offered {
         let ahead = self.queue.position(&work);
-        if let Some(refused) = self.overload(now, ahead, work.deadline) {
+        if let Some(refused) = self.admission(now, ahead, work.deadline) {
             return Offered { offer: Offer::Refused(refused), decisions: Vec::new() };
         }
         let id = work.id;
@@ -397,6 +436,19 @@
         }
     }
 
+    /// Returns a refusal where new work would wait for too large a share of its budget.
+    ///
+    /// Stricter than [`Self::overload`]: work of better classes may still come, and
+    /// a wait that ends in vain has kept its caller from coming back in time.
+    fn admission(&self, now: Instant, ahead: usize, deadline: Instant) -> Option<Refused> {
+        if self.limits.baseline == Baseline::Arrival {
+            return None;
+        }
+        let budget = deadline.saturating_duration_since(now).saturating_sub(self.latency.mean());
+        let late = self.expected_wait(now, ahead) > budget.mul_f64(WAIT_SHARE_MAX);
+        late.then(|| self.overloaded(now))
+    }
+
     /// Returns a refusal where work with so much ahead of it cannot end in time.
     fn overload(&self, now: Instant, ahead: usize, deadline: Instant) -> Option<Refused> {
         if self.limits.baseline == Baseline::Arrival {
@@ -445,8 +497,9 @@
     /// Ejects a replica that is far slower than the service's other replicas.
     fn eject_slow(&mut self, now: Instant, at: usize) {
         let replica = &self.replicas[at];
+        let samples = if replica.was_ejected() { 1 } else { SLOW_SAMPLES_MIN };
         if self.limits.baseline == Baseline::Random
-            || replica.latency.len() < SLOW_SAMPLES_MIN
+            || replica.latency.len() < samples
             || replica.is_ejected(now)
         {
             return;
@@ -460,7 +513,9 @@
         let mut means: Vec<Duration> = others.map(|other| other.latency.mean()).collect();
         means.sort_unstable();
         let Some(median) = means.get(means.len() / 2) else { return };
-        if replica.latency.mean() > *median * SLOW_FACTOR {
+        if replica.latency.mean() <= *median * SLOW_FACTOR {
+            self.replicas[at].settle();
+        } else {
             let address = self.replicas[at].address;
             self.replicas[at].eject(now);
             self.ejected.push(address);
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -62,6 +62,7 @@
     pub(crate) in_flight: u16,
     pub(crate) removed: bool,
     pub(crate) asked: bool,
+    pub(crate) probed_at: Option<Instant>,
     pub(crate) host_leaving: bool,
     pub(crate) report: Report,
     pub(crate) latency: LatencyWindow,
@@ -83,6 +84,7 @@
             in_flight: 0,
             removed: false,
             asked: false,
+            probed_at: None,
             host_leaving: false,
             report: Report::default(),
             latency: LatencyWindow::default(),
@@ -169,11 +171,15 @@
         self.in_flight < slots.min(self.warm_slots)
     }
 
+    /// Returns the latency to expect of a request, which is the usual one where nothing is known.
+    pub(crate) fn expected(&self, now: Instant, usual: Duration) -> Duration {
+        let fresh = self.measured_at.is_some_and(|at| now.saturating_duration_since(at) < ESTIMATE_LASTS);
+        if fresh { self.latency.mean() } else { usual }
+    }
+
     /// Returns the expected latency of one more request, for comparing replicas.
     pub(crate) fn cost(&self, now: Instant, usual: Duration) -> Duration {
-        let fresh = self.measured_at.is_some_and(|at| now.saturating_duration_since(at) < ESTIMATE_LASTS);
-        let latency = if fresh { self.latency.mean() } else { usual };
-        latency * u32::from(self.in_flight + 1)
+        self.expected(now, usual) * u32::from(self.in_flight + 1)
     }
 
     /// Takes the end of an attempt; returns whether the replica became ejected.
@@ -184,7 +190,6 @@
                 self.latency.add(latency);
                 self.measured_at = Some(now);
                 self.failures = 0;
-                self.ejections = 0;
                 self.warm_slots = (self.warm_slots + 1).min(slots);
             }
             Finish::Failed => {
@@ -200,6 +205,16 @@
         false
     }
 
+    /// Tells whether the replica was ejected and did not show itself sound since.
+    pub(crate) fn was_ejected(&self) -> bool {
+        self.ejections > 0
+    }
+
+    /// Forgets earlier ejections, after an answer in the usual time.
+    pub(crate) fn settle(&mut self) {
+        self.ejections = 0;
+    }
+
     pub(crate) fn eject(&mut self, now: Instant) {
         let doublings = self.ejections.min(EJECT_DOUBLINGS_MAX);
         self.ejected_until = Some(now + EJECT_FIRST * 2_u32.pow(doublings));
@@ -207,5 +222,7 @@
         self.failures = 0;
         self.latency = LatencyWindow::default();
         self.measured_at = None;
+        // It comes back with one request at a time.
+        self.warm_slots = 1;
     }
 }
--- a/crates/proofs/src/fleet.rs
+++ b/crates/proofs/src/fleet.rs
@@ -370,7 +370,7 @@
 fn new_network() -> [u8; 3] {
     let process = std::process::id();
     let second = 64 + (process % 128) as u8;
-    let third = (process / 128 % 16) as u8 * 16 + NETWORKS.fetch_add(1, Ordering::SeqCst) % 16;
+    let third = NETWORKS.fetch_add(1, Ordering::SeqCst);
     [127, second, third]
 }
 
--- a/crates/relay/src/cell.rs
+++ b/crates/relay/src/cell.rs
@@ -121,6 +121,12 @@
         Err(miss)
     }
 
+    /// Tells, before anything is sent, whether the cell would be refused.
+    pub(crate) fn would_refuse(&self) -> Option<CellMiss> {
+        let suspect = self.relay.is_suspect(self.fingerprint);
+        self.service.would_refuse(self.wanted(&[], suspect)).map(CellMiss::from)
+    }
+
     /// Waits for a slot; a mark that came meanwhile puts the work to the stricter rule.
     async fn acquire(&self, tried: &[SocketAddr]) -> Result<Slot, CellMiss> {
         loop {
--- a/crates/relay/src/probe.rs
+++ b/crates/relay/src/probe.rs
@@ -8,16 +8,14 @@
 
 use crate::{Relay, service_state::ServiceState, slot::now};
 
-/// How often the owner asks a replica that did not answer work meanwhile.
-pub(crate) const OWNER_INTERVAL: Duration = Duration::from_millis(500);
-/// How often a standby asks; its signs of life still outlast the interval.
-pub(crate) const STANDBY_INTERVAL: Duration = Duration::from_millis(1000);
+/// How often owner and standbys ask a replica; its signs of life outlast two probes.
+pub(crate) const PROBE_INTERVAL: Duration = Duration::from_millis(1000);
 
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Probes the replicas whose last sign of life is older than `interval`.
-pub(crate) fn probe_due(relay: &Relay, service: &Arc<ServiceState>, interval: Duration) {
-    for address in service.begin_probes(now(), interval) {
+/// Probes the replicas that are due.
+pub(crate) fn probe_due(relay: &Relay, service: &Arc<ServiceState>) {
+    for address in service.begin_probes(now(), PROBE_INTERVAL) {
         let (relay, service) = (relay.clone(), Arc::clone(service));
         relay.traffic().clone().spawn(async move { probe(&relay, &service, address).await });
     }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -19,7 +19,7 @@
 use crate::{
     RelaySite,
     instruments::Instruments,
-    probe::{OWNER_INTERVAL, STANDBY_INTERVAL, probe_due},
+    probe::probe_due,
     scatter::{self, find_service},
     service_state::ServiceState,
     slot::now,
@@ -215,13 +215,9 @@
             if let Some(pause) = pauses.tick(now()) {
                 self.journal().record(Code::Paused, None, format!("{} ms", pause.as_millis()));
             }
-            let view = self.inner.follower.view();
             let (mut slots, mut queue, mut warm) = (0, 0, self.inner.follower.is_ready());
             for state in self.inner.services.load().iter() {
-                let owns = view.block(&state.service().block).is_some_and(|block| {
-                    block.live.first().is_some_and(|owner| owner.host == self.inner.host)
-                });
-                probe_due(&self, state, if owns { OWNER_INTERVAL } else { STANDBY_INTERVAL });
+                probe_due(&self, state);
                 state.poll(now());
                 for address in state.take_ejected() {
                     self.journal().record(
--- a/crates/relay/src/scatter.rs
+++ b/crates/relay/src/scatter.rs
@@ -80,6 +80,7 @@
     };
     let cells = cells(relay, &scatter, deadline, &ledger, &mut gathering);
     let needed = cells.len() as u32;
+    let cells = if is_refused_ahead(&cells, &gathering) { refuse_all(cells, &mut gathering) } else { cells };
     gather(cells, deadline, &mut gathering).await;
     for part in &mut gathering.parts {
         part.covered.sort_by(|a, b| a.shard.cmp(&b.shard));
@@ -103,6 +104,27 @@
     }
 }
 
+/// Tells whether the refusals that are known before anything is sent decide the query.
+///
+/// A query that cannot reach its minimum coverage must not spend copies on the rest.
+fn is_refused_ahead(cells: &[(usize, Arc<CellContext>)], gathering: &Gathering) -> bool {
+    let refused = cells.iter().filter(|(_, cell)| cell.would_refuse().is_some());
+    let shards: usize = refused.map(|(_, cell)| cell.shards.len()).sum();
+    gathering.misses + shards > gathering.allowed_misses
+}
+
+/// Turns all cells into misses, each with its own cause or as cancelled.
+fn refuse_all(
+    cells: Vec<(usize, Arc<CellContext>)>,
+    gathering: &mut Gathering,
+) -> Vec<(usize, Arc<CellContext>)> {
+    for (part, cell) in cells {
+        let miss = cell.would_refuse().unwrap_or(MissCause::Cancelled.into());
+        gathering.miss(part, cell.shards.iter().cloned(), miss);
+    }
+    Vec::new()
+}
+
 async fn gather(cells: Vec<(usize, Arc<CellContext>)>, deadline: Instant, gathering: &mut Gathering) {
     let mut pending: Vec<(usize, Vec<ShardName>)> =
         cells.iter().map(|(part, cell)| (*part, cell.shards.clone())).collect();
--- a/crates/relay/src/service_state.rs
+++ b/crates/relay/src/service_state.rs
@@ -134,6 +134,13 @@
         offering
     }
 
+    /// Tells, without taking anything, whether work would be refused now.
+    pub(crate) fn would_refuse(&self, wanted: Wanted) -> Option<Refused> {
+        let Wanted { rank, deadline, replicas, suspect, unproven } = wanted;
+        let work = Work { id: WorkId(u64::MAX), rank, deadline, replicas, suspect, unproven };
+        self.lock().dispatcher.would_refuse(now(), &work)
+    }
+
     pub(crate) fn finish(
         self: &Arc<Self>,
         now: Instant,
@@ -163,12 +170,11 @@
         self.settle(inner, decisions);
     }
 
-    /// Lists the replicas to probe and notes that their probes run.
+    /// Lists the replicas to probe, without those whose last probe still runs.
     pub(crate) fn begin_probes(&self, now: Instant, interval: Duration) -> Vec<SocketAddr> {
         let mut inner = self.lock();
-        let due = inner.dispatcher.to_probe(now, interval);
-        let due: Vec<SocketAddr> =
-            due.into_iter().filter(|address| !inner.probing.contains(address)).collect();
+        let mut due = inner.dispatcher.begin_probes(now, interval);
+        due.retain(|address| !inner.probing.contains(address));
         inner.probing.extend(&due);
         due
     }
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -287,7 +287,9 @@
         self.inner.executions.lock().unwrap_or_else(PoisonError::into_inner)[recorded].completed = true;
         let found = search.shards.iter().map(|shard| {
             let records = well_records(&search.service, shard, search.snapshot, behaviour.records);
-            ShardFound { shard: shard.clone(), hits: crate::search(&records, &body) }
+            // A reply for another query carries that query's hits.
+            let body = if behaviour.confuses { "{}" } else { body.as_str() };
+            ShardFound { shard: shard.clone(), hits: crate::search(&records, body) }
         });
         let reply = SearchReply {
             query: if behaviour.confuses { QueryId(search.query.0 ^ 1) } else { search.query },
