--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -279,14 +279,8 @@
     }
 
     async fn follow(self) {
-        let mut follower = self.inner.follower.clone();
-        if follower.is_ready() {
-            self.configure(&follower.view());
-        }
-        loop {
-            let view = follower.changed().await;
-            self.configure(&view);
-        }
+        let follower = self.inner.follower.clone();
+        follower.for_each(|view| self.configure(view)).await;
     }
 
     fn configure(&self, view: &View) {
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -46,12 +46,14 @@
         self.view.load_full()
     }
 
-    /// Waits for the next view and returns it; waits forever where none will come.
-    pub async fn changed(&mut self) -> Arc<View> {
-        if self.changes.changed().await.is_err() {
-            std::future::pending::<()>().await;
+    /// Calls `take` with the view in force, where there is one, and with every later one.
+    pub async fn for_each(mut self, take: impl Fn(&View)) {
+        if self.is_ready() {
+            take(&self.view());
+        }
+        while self.changes.changed().await.is_ok() {
+            take(&self.view());
         }
-        self.view()
     }
 
     /// Tells whether a configuration is in force.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -36,7 +36,9 @@
 //!
 //! docs/DESIGN.md says for each what was weighed.
 
+mod admission;
 mod baseline;
+mod choice;
 mod dispatcher;
 mod latency;
 mod owner;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -178,14 +178,8 @@
     }
 
     async fn follow(self) {
-        let mut follower = self.inner.follower.clone();
-        if follower.is_ready() {
-            self.configure(&follower.view());
-        }
-        loop {
-            let view = follower.changed().await;
-            self.configure(&view);
-        }
+        let follower = self.inner.follower.clone();
+        follower.for_each(|view| self.configure(view)).await;
     }
 
     /// Takes up the services that this relay may own; the state of known ones stays.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -22,6 +22,7 @@
 
 mod behaviour;
 mod execution;
+mod http_message;
 mod platform;
 mod publish;
 mod records;
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -18,14 +18,18 @@
     SearchRequest, ShardFound, TargetPhase,
 };
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt, BufReader},
+    io::{AsyncWriteExt, BufReader},
     net::{TcpListener, TcpStream},
     runtime::Handle,
     sync::watch,
     time::{Instant, sleep},
 };
 
-use crate::{Behaviour, Execution, well_records};
+use crate::{
+    Behaviour, Execution,
+    http_message::{HttpRequest, HttpResponse, read_request},
+    well_records,
+};
 
 const BEHAVIOUR_PATH: &str = "/admin/behaviour";
 const EXECUTIONS_PATH: &str = "/admin/executions";
@@ -55,23 +59,6 @@
     address: SocketAddr,
 }
 
-struct HttpRequest {
-    path: String,
-    body: Vec<u8>,
-}
-
-struct HttpResponse {
-    status: u16,
-    body: Vec<u8>,
-    truncated: bool,
-}
-
-impl HttpResponse {
-    fn json(status: u16, body: &impl serde::Serialize) -> Self {
-        Self { status, body: serde_json::to_vec(body).expect("bodies have a JSON form"), truncated: false }
-    }
-}
-
 impl Target {
     /// Starts a target.
     ///
@@ -389,22 +376,3 @@
     }
     None
 }
-
-/// Reads one request; header names are matched without regard to case.
-async fn read_request(stream: &mut BufReader<&mut TcpStream>) -> Option<HttpRequest> {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        head.push(stream.read_u8().await.ok()?);
-    }
-    let head = String::from_utf8(head).ok()?;
-    let path = head.split(' ').nth(1)?.to_owned();
-    let length = head
-        .lines()
-        .filter_map(|line| line.split_once(':'))
-        .find(|(name, _)| name.eq_ignore_ascii_case("content-length"))
-        .and_then(|(_, value)| value.trim().parse().ok())
-        .unwrap_or(0);
-    let mut body = vec![0; length];
-    stream.read_exact(&mut body).await.ok()?;
-    Some(HttpRequest { path, body })
-}
