--- a/crates/proofs/tests/refusals.rs
+++ b/crates/proofs/tests/refusals.rs
@@ -99,3 +99,32 @@
     }
     assert!(not_run > 100 && answered > 5, "{not_run} not run, {answered} answered");
 }
+
+/// A target that is late, breaks off or crashes has run the request, and the refusal must not deny it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_after_a_run_never_says_not_run() {
+    let shape = Shape {
+        services: 1,
+        shards: 1,
+        below_minimum: "refuse",
+        min_coverage: 1.0,
+        retry_percent: 0.0,
+        ..Shape::default()
+    };
+    let usual = shape.behaviour.clone();
+    let fleet = Fleet::start(shape).await;
+    let crash_on = Some("crash".to_owned());
+    let faults = [
+        ("late", Behaviour { service_us: 900_000, ..usual.clone() }),
+        ("truncated", Behaviour { truncates: true, ..usual.clone() }),
+        ("confused", Behaviour { confuses: true, ..usual.clone() }),
+        ("crash", Behaviour { crash_on, ..usual }),
+    ];
+    for (mark, behaviour) in faults {
+        fleet.targets[0].iter().for_each(|target| target.set(behaviour.clone()));
+        let query = marked(mark).budget(Duration::from_millis(250));
+        let error = fleet.client().query_once(&query).await.unwrap_err();
+        assert!(runs(&fleet, mark) > 0, "{mark}: nothing ran, {error}");
+        assert_ne!(error.ran(), Ran::No, "{mark}: {error}");
+    }
+}
