Count an attempt as pending before its task starts

Cause: found by reading. The ledger learned of an attempt in the task that sends it. A message that was decided before that task first ran was answered "ran: no", and the task then sent the request: a false refusal. Test first: a_reply_never_denies_an_attempt_that_is_about_to_leave, a relay on one thread with two cells for one slot; before: "the reply said not run, and the target ran it". After: green. The task also sends nothing any more where nobody waits. Ruled out: the same at the entry, which says unknown while any message is pending.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -47,14 +47,17 @@
 /// done with it, also when nobody waits for the answer any more.
 pub(crate) fn spawn(cx: Arc<CellContext>, slot: Slot) -> oneshot::Receiver<AttemptEnd> {
     let (tx, rx) = oneshot::channel();
+    cx.ledger.begin();
     tokio::spawn(drive(cx, slot, tx));
     rx
 }
 
 async fn drive(cx: Arc<CellContext>, slot: Slot, mut tx: oneshot::Sender<AttemptEnd>) {
     let started = now();
-    // The process may have slept since the slot was granted.
-    if started >= cx.deadline || !slot.service().is_live(started, slot.address()) {
+    // The process may have slept since the slot was granted, or nobody may wait any more.
+    let unwanted = started >= cx.deadline || tx.is_closed();
+    if unwanted || !slot.service().is_live(started, slot.address()) {
+        cx.ledger.ended(Ran::No);
         slot.finish(Finish::Cancelled);
         let _ = tx.send(AttemptEnd::NotSent);
         return;
--- a/crates/relay/src/ledger.rs
+++ b/crates/relay/src/ledger.rs
@@ -21,14 +21,17 @@
 }
 
 impl Ledger {
-    /// Notes that bytes may leave from now on.
+    /// Notes that bytes may leave from now on, also where the task that sends them has yet to run.
+    pub(crate) fn begin(&self) {
+        self.lock().pending += 1;
+    }
+
+    /// Notes that bytes leave.
     pub(crate) fn sent(&self) {
-        let mut entries = self.lock();
-        entries.attempts += 1;
-        entries.pending += 1;
+        self.lock().attempts += 1;
     }
 
-    /// Notes what became of a sent attempt.
+    /// Notes what became of an attempt that began.
     pub(crate) fn ended(&self, ran: Ran) {
         let mut entries = self.lock();
         entries.pending -= 1;
