--- a/crates/model/src/miss.rs
+++ b/crates/model/src/miss.rs
@@ -39,11 +39,3 @@
         Cancelled,
     }
 }
-
-impl MissCause {
-    /// Tells whether asking again soon may cover the shard.
-    #[must_use]
-    pub fn is_transient(self) -> bool {
-        !matches!(self, Self::Suspect)
-    }
-}
