Judge histories by checkers that have broken histories as tests

Cause: the checks of answers, runs and versions stood in single tests, one of them twice, and nothing showed that they notice a broken promise. Ruled out: one register for all processes, since they may differ while a version spreads.

--- /dev/null
+++ b/crates/proofs/src/history/mod.rs
@@ -0,0 +1,14 @@
+//! Checkers of what a run recorded, as plain functions over typed records.
+//!
+//! Each returns the first [`Violation`] that it finds; tests/checkers.rs holds each
+//! against a history that breaks its promise.
+
+mod answers;
+mod runs;
+mod versions;
+mod violation;
+
+pub use answers::{expected_hits, judge_answer};
+pub use runs::{judge_at_most_once, judge_not_run};
+pub use versions::VersionHistory;
+pub use violation::Violation;
--- a/crates/proofs/src/lib.rs
+++ b/crates/proofs/src/lib.rs
@@ -23,11 +23,15 @@
 mod declare;
 mod fleet;
 mod forwarder;
+mod history;
 mod shape;
 
-pub use check::{check_answer, executions_of, expected_hits};
+pub use check::{check_answer, check_at_most_once, executions_of};
 pub use daemon::{Daemon, Role, Usage, binary};
 pub use declare::{Declared, SnapshotPlan, example_declaration};
 pub use fleet::Fleet;
 pub use forwarder::{Forwarder, Passing};
+pub use history::{
+    VersionHistory, Violation, expected_hits, judge_answer, judge_at_most_once, judge_not_run,
+};
 pub use shape::Shape;
--- a/crates/proofs/tests/at_most_once.rs
+++ b/crates/proofs/tests/at_most_once.rs
@@ -1,10 +1,10 @@
 //! Promise 5: a request marked as non-idempotent runs at most once.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::time::Duration;
 
 use egret_client::{Client, Query};
 use egret_model::{Ran, RefusalKind};
-use egret_proofs::{Fleet, Role, Shape};
+use egret_proofs::{Fleet, Role, Shape, check_at_most_once};
 use nix::sys::signal::Signal;
 use tokio::{task::JoinSet, time::sleep};
 
@@ -13,20 +13,6 @@
     Query::group("desk", "file", &body).unwrap().non_idempotent().budget(Duration::from_millis(800))
 }
 
-/// Fails where any target's service ran a marked request more than once.
-fn check_at_most_once(fleet: &Fleet) -> usize {
-    let mut counts: BTreeMap<(String, String, String), usize> = BTreeMap::new();
-    for run in fleet.executions().into_iter().filter(|run| !run.idempotent) {
-        for shard in &run.shards {
-            *counts.entry((run.body.clone(), run.service.to_string(), shard.to_string())).or_default() += 1;
-        }
-    }
-    for (key, count) in &counts {
-        assert_eq!(*count, 1, "{key:?} ran {count} times");
-    }
-    counts.len()
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn the_same_ticket_through_any_entry_runs_once() {
     let fleet = Fleet::start(Shape::default()).await;
--- /dev/null
+++ b/crates/proofs/tests/checkers.rs
@@ -0,0 +1,160 @@
+//! The checkers notice histories that break their promises.
+
+use egret_model::{MissCause, PlacementId, QueryId, Ran, ServiceName, ShardName, SnapshotId};
+use egret_proofs::{
+    VersionHistory, Violation, expected_hits, judge_answer, judge_at_most_once, judge_not_run,
+};
+use egret_standin::{Execution, search, well_records};
+use egret_wire::{MissingShard, QueryAnswer, ServiceShards, ShownHit};
+
+const RECORDS: u32 = 40;
+const NUMBER: u64 = 3;
+const SNAPSHOT: SnapshotId = SnapshotId(1);
+
+fn service() -> ServiceName {
+    ServiceName::new("desk-00").unwrap()
+}
+
+fn shard(name: &str) -> ShardName {
+    ShardName::new(name).unwrap()
+}
+
+fn hits(of: &str, snapshot: SnapshotId) -> Vec<ShownHit> {
+    let records = well_records(&service(), &shard(of), snapshot, RECORDS);
+    let body = format!(r#"{{"min_depth_m":{},"limit":1000,"number":{NUMBER}}}"#, 300 + NUMBER * 37 % 3000);
+    let found = search(&records, &body).into_iter();
+    found.map(|hit| ShownHit { key: hit.key, score: hit.score, record: hit.record }).collect()
+}
+
+/// Makes a true answer that covers one of two shards.
+fn answer() -> QueryAnswer {
+    let missing = MissingShard { service: service(), shard: shard("s1"), cause: MissCause::Deadline };
+    let mut hits = hits("s0", SNAPSHOT);
+    hits.sort_by(|a, b| b.score.total_cmp(&a.score).then_with(|| a.key.cmp(&b.key)));
+    QueryAnswer {
+        query: QueryId(1),
+        snapshot: SNAPSHOT,
+        coverage: 0.5,
+        covered: vec![ServiceShards { service: service(), shards: vec![shard("s0")] }],
+        missing: vec![missing],
+        hits,
+        ran: Ran::Yes,
+        attempts: 2,
+        needed: 2,
+    }
+}
+
+fn judge(answer: &QueryAnswer) -> Result<(), Violation> {
+    judge_answer(RECORDS, NUMBER, answer)
+}
+
+fn execution(body: &str, shards: &[&str]) -> Execution {
+    Execution {
+        query: QueryId(1),
+        attempt: 1,
+        service: service(),
+        shards: shards.iter().map(|name| shard(name)).collect(),
+        snapshot: SNAPSHOT,
+        placement: PlacementId(1),
+        idempotent: false,
+        body: body.to_owned(),
+        at_ms: 0,
+        completed: true,
+    }
+}
+
+#[test]
+fn a_true_answer_passes() {
+    assert!(answer().hits.len() > 1, "the checks below need hits");
+    assert_eq!(expected_hits(&service(), &shard("s0"), SNAPSHOT, RECORDS, NUMBER).len(), answer().hits.len());
+    assert_eq!(judge(&answer()), Ok(()));
+}
+
+#[test]
+fn lost_doubled_and_foreign_hits_are_noticed() {
+    let mut lost = answer();
+    lost.hits.pop();
+    assert!(matches!(judge(&lost), Err(Violation::WrongHits { .. })));
+    let mut doubled = answer();
+    let again = doubled.hits[0].clone();
+    doubled.hits.insert(0, again);
+    assert!(matches!(judge(&doubled), Err(Violation::WrongHits { .. })));
+    let mut foreign = answer();
+    foreign.hits[0].key = "another caller's".to_owned();
+    assert!(matches!(judge(&foreign), Err(Violation::WrongHits { .. })));
+    let mut more = answer();
+    more.hits.extend(hits("s1", SNAPSHOT));
+    assert!(matches!(judge(&more), Err(Violation::WrongHits { .. })));
+}
+
+#[test]
+fn a_covered_shard_without_its_hits_is_noticed() {
+    let mut answer = answer();
+    answer.covered[0].shards.push(shard("s1"));
+    answer.missing.clear();
+    answer.coverage = 1.0;
+    assert!(matches!(judge(&answer), Err(Violation::WrongHits { .. })));
+}
+
+#[test]
+fn a_hit_of_another_snapshot_is_noticed() {
+    let mut answer = answer();
+    let other = hits("s0", SnapshotId(2)).remove(0).record;
+    answer.hits[0].record = other;
+    assert!(matches!(judge(&answer), Err(Violation::MixedSnapshots { .. })));
+}
+
+#[test]
+fn a_wrong_share_and_a_wrong_order_are_noticed() {
+    let wrong = QueryAnswer { coverage: 1.0, ..answer() };
+    assert!(matches!(judge(&wrong), Err(Violation::WrongCoverage { .. })));
+    let mut wrong = answer();
+    wrong.hits.reverse();
+    assert!(matches!(judge(&wrong), Err(Violation::WrongOrder { .. })));
+}
+
+#[test]
+fn a_second_run_of_one_shard_is_noticed() {
+    let fine = [execution("one", &["s0"]), execution("one", &["s1"]), execution("two", &["s0"])];
+    assert_eq!(judge_at_most_once(&fine), Ok(3));
+    let mut idempotent = execution("one", &["s0"]);
+    idempotent.idempotent = true;
+    assert_eq!(judge_at_most_once(&[execution("one", &["s0"]), idempotent]), Ok(1));
+    let twice = [execution("one", &["s0", "s1"]), execution("one", &["s1"])];
+    assert!(matches!(judge_at_most_once(&twice), Err(Violation::RanTwice { count: 2, .. })));
+}
+
+#[test]
+fn a_run_after_a_refusal_as_not_run_is_noticed() {
+    let runs = [execution("bid-1-", &["s0"])];
+    assert_eq!(judge_not_run(&runs, &["bid-2-".to_owned()]), Ok(()));
+    let denied = judge_not_run(&runs, &["bid-1-".to_owned()]);
+    assert!(matches!(denied, Err(Violation::RanAfterAll { .. })));
+}
+
+#[test]
+fn reads_while_a_version_spreads_may_see_either() {
+    let mut history = VersionHistory::begin(2, 1);
+    history.publish(2);
+    history.read(0, 1);
+    history.read(1, 2);
+    history.read(0, 2);
+    history.in_force(2);
+    history.read(0, 2);
+    assert_eq!(history.judge(), Ok(()));
+}
+
+#[test]
+fn a_version_that_reverts_or_comes_late_is_noticed() {
+    let mut reverts = VersionHistory::begin(2, 1);
+    reverts.publish(2);
+    reverts.read(1, 2);
+    reverts.read(1, 1);
+    reverts.in_force(2);
+    assert_eq!(reverts.judge(), Err(Violation::VersionsDisagree { process: 1, seen: vec![2, 1] }));
+    let mut late = VersionHistory::begin(1, 1);
+    late.publish(2);
+    late.in_force(2);
+    late.read(0, 1);
+    assert_eq!(late.judge(), Err(Violation::VersionsDisagree { process: 0, seen: vec![1] }));
+}
--- a/crates/proofs/tests/configuration.rs
+++ b/crates/proofs/tests/configuration.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use egret_proofs::{Fleet, Forwarder, Passing, Role, Shape};
+use egret_proofs::{Fleet, Forwarder, Passing, Role, Shape, VersionHistory};
 use egret_standin::PlatformMode;
 use nix::sys::signal::Signal;
 use tokio::time::{Instant, sleep};
@@ -22,9 +22,15 @@
 }
 
 async fn wait_in_force(fleet: &Fleet, version: u64) {
+    watch_until_in_force(fleet, version, |_| ()).await;
+}
+
+/// Passes all versions that it reads to `note`, those of one moment together.
+async fn watch_until_in_force(fleet: &Fleet, version: u64, mut note: impl FnMut(&[u64])) {
     let deadline = Instant::now() + IN_FORCE_WITHIN;
     loop {
         let versions = versions(fleet).await;
+        note(&versions);
         if versions.iter().all(|v| *v == version) {
             return;
         }
@@ -46,22 +52,22 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn versions_never_revert_while_the_platform_flaps() {
     let fleet = Fleet::start(Shape { hosts: 4, ..Shape::default() }).await;
-    let mut newest = [0; 8];
+    let mut history = VersionHistory::begin(versions(&fleet).await.len(), 1);
     for round in 0..6 {
+        history.publish(round + 2);
         let version = fleet.publish(|declared| declared.shape.slots += 1);
+        assert_eq!(version, round + 2);
+        watch_until_in_force(&fleet, version, |versions| history.read_all(versions)).await;
+        history.in_force(version);
         let stale = if round % 2 == 0 { PlatformMode::Stale } else { PlatformMode::Down };
-        wait_in_force(&fleet, version).await;
         fleet.platform.set_mode(stale);
         for _ in 0..8 {
-            let now = versions(&fleet).await;
-            for (newest, now) in newest.iter_mut().zip(now) {
-                assert!(now >= *newest, "a process went back from {newest} to {now}");
-                *newest = now;
-            }
+            history.read_all(&versions(&fleet).await);
             sleep(Duration::from_millis(50)).await;
         }
         fleet.platform.set_mode(PlatformMode::Up);
     }
+    assert_eq!(history.judge(), Ok(()));
 }
 
 /// Agents restart while the platform is stale: their peers know better.
--- a/crates/proofs/tests/soak.rs
+++ b/crates/proofs/tests/soak.rs
@@ -2,11 +2,11 @@
 //!
 //! CI runs a fixed set; `scripts/soak --seeds A..B` runs any.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use egret_client::{Client, Query};
 use egret_model::Ran;
-use egret_proofs::{Fleet, Role, Shape, SnapshotPlan, check_answer};
+use egret_proofs::{Fleet, Role, Shape, SnapshotPlan, check_answer, check_at_most_once, judge_not_run};
 use egret_standin::{Behaviour, PlatformMode};
 use nix::sys::signal::Signal;
 use tokio::{
@@ -171,19 +171,6 @@
     never
 }
 
-fn check_bids(fleet: &Fleet, never: &[String]) {
-    let mut counts: BTreeMap<(String, String, String), usize> = BTreeMap::new();
-    for run in fleet.executions().into_iter().filter(|run| !run.idempotent) {
-        assert!(!never.iter().any(|mark| run.body.contains(mark.as_str())), "{} said not run", run.body);
-        for shard in &run.shards {
-            *counts.entry((run.body.clone(), run.service.to_string(), shard.to_string())).or_default() += 1;
-        }
-    }
-    for (key, count) in &counts {
-        assert_eq!(*count, 1, "{key:?} ran {count} times");
-    }
-}
-
 async fn run_seed(seed: u64) {
     let shape = Shape { hosts: 3, services: 3, replicas: 3, copies: 2, budget_ms: 400, ..Shape::default() };
     let usual = shape.behaviour.clone();
@@ -215,7 +202,8 @@
     let asked = callers.join_all().await;
     let never: Vec<String> = bidders.join_all().await.into_iter().flatten().collect();
     faults.join_all().await;
-    check_bids(&fleet, &never);
+    check_at_most_once(&fleet);
+    assert_eq!(judge_not_run(&fleet.executions(), &never), Ok(()));
     let (answered, refused) = asked.into_iter().fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
     println!("seed {seed}: {answered} answered, {refused} refused, {} bids never run", never.len());
     assert!(answered > 0, "seed {seed} answered nothing");
