Ask a silent relay whether it lives, and move its idempotent work on

Cause: a paused or cut-off relay closes no connection, so an entry waited for the whole budget of every query that it had sent there; only then was the relay counted as down. Ruled out: a second relay after a fixed delay (under overload all relays are late, and it would double the load on the targets) and heartbeats between all hosts (docs/DESIGN.md, "Silent relays").

An entry that heard nothing from a relay for 50 ms while it waits asks once for all waiting queries; after 50 ms more the relay is down and idempotent work goes to the next candidate. silent_relay.rs failed first (both tests: all shards of the paused relay missing with `deadline`) and is green now.

Non-idempotent work still waits for its budget.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -252,6 +252,25 @@
         }
     }
 
+    /// Notes that a relay showed no sign of life.
+    pub(crate) fn relay_silent(&self, relay: SocketAddr) {
+        if self.relays().failed(now(), relay) {
+            self.journal().record(Code::RelayDown, None, format!("{relay} is silent"));
+        }
+    }
+
+    pub(crate) fn relay_lives(&self, relay: SocketAddr) {
+        self.relays().lives(now(), relay);
+    }
+
+    pub(crate) fn heard_within(&self, relay: SocketAddr, period: Duration) -> bool {
+        self.relays().heard_within(now(), relay, period)
+    }
+
+    pub(crate) fn begin_asking(&self, relay: SocketAddr, timeout: Duration) -> bool {
+        self.relays().begin_asking(now(), relay, timeout)
+    }
+
     pub(crate) fn observe(&self, service: &ServiceName, held: Vec<SnapshotShards>) {
         self.observed().learn(now(), service, held);
     }
--- a/crates/entry/src/gather.rs
+++ b/crates/entry/src/gather.rs
@@ -11,6 +11,7 @@
 use crate::{
     Entry,
     plan::{Plan, PlannedPart},
+    silence::falls_silent,
 };
 
 /// The time that a relay's answer takes on its way.
@@ -36,7 +37,21 @@
     /// The candidate that is asked, counted from the best.
     candidate: usize,
     parts: Vec<PlannedPart>,
-    result: Result<ScatterReply, ExchangeError>,
+    result: Result<ScatterReply, RelayFailure>,
+}
+
+/// Why a relay did not answer.
+enum RelayFailure {
+    /// The exchange failed.
+    Exchange(ExchangeError),
+    /// The relay showed no sign of life.
+    Silent,
+}
+
+impl RelayFailure {
+    fn is_not_sent(&self) -> bool {
+        matches!(self, Self::Exchange(error) if error.is_not_sent())
+    }
 }
 
 /// Parts with the candidate to ask next.
@@ -171,9 +186,11 @@
                 self.gathered.ran = self.gathered.ran.and(Ran::Unknown);
                 self.miss_parts(&parts, MissCause::BadReply);
             }
-            Err(error) => {
-                self.entry.relay_failed(relay, &error);
-                self.take_failure(&error, parts, candidate);
+            Err(failure) => {
+                if let RelayFailure::Exchange(error) = &failure {
+                    self.entry.relay_failed(relay, error);
+                }
+                self.take_failure(&failure, parts, candidate);
             }
         }
     }
@@ -185,8 +202,8 @@
     }
 
     /// Asks the next candidate where the work was not run or may run twice.
-    fn take_failure(&mut self, error: &ExchangeError, parts: Vec<PlannedPart>, candidate: usize) {
-        let not_run = error.is_not_sent();
+    fn take_failure(&mut self, failure: &RelayFailure, parts: Vec<PlannedPart>, candidate: usize) {
+        let not_run = failure.is_not_sent();
         if !not_run {
             self.gathered.ran = self.gathered.ran.and(Ran::Unknown);
         }
@@ -266,7 +283,25 @@
 async fn exchange(entry: &Entry, plan: &Plan, routed: Routed, scatter: Scatter) -> Sent {
     let within = plan.deadline.saturating_duration_since(now());
     entry.instruments().scatters.add(1, &[]);
-    let result = entry.client().post_packed(routed.relay, SCATTER_PATH, &scatter, within).await;
+    let answer = entry.client().post_packed(routed.relay, SCATTER_PATH, &scatter, within);
+    tokio::pin!(answer);
+    let early = tokio::select! {
+        biased;
+        answer = &mut answer => Some(answer),
+        () = falls_silent(entry, routed.relay) => None,
+    };
+    let result = match early {
+        Some(answer) => answer.map_err(RelayFailure::Exchange),
+        None => {
+            entry.relay_silent(routed.relay);
+            if plan.idempotent {
+                Err(RelayFailure::Silent)
+            } else {
+                // Its work may still run, and must not run elsewhere.
+                answer.await.map_err(RelayFailure::Exchange)
+            }
+        }
+    };
     Sent { relay: routed.relay, candidate: routed.candidate, parts: routed.parts, result }
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -30,6 +30,7 @@
 mod options;
 mod outcome;
 mod plan;
+mod silence;
 mod tickets;
 
 pub use caller_site::CallerSite;
--- a/crates/policy/src/relay_health.rs
+++ b/crates/policy/src/relay_health.rs
@@ -20,6 +20,7 @@
 struct Known {
     relay: SocketAddr,
     answered_at: Option<Instant>,
+    asked_at: Option<Instant>,
     down: Option<Down>,
 }
 
@@ -63,6 +64,30 @@
         known.down.take().is_some()
     }
 
+    /// Notes that a relay said that it lives; whether it takes work is another question.
+    pub fn lives(&mut self, now: Instant, relay: SocketAddr) {
+        self.entry(relay).answered_at = Some(now);
+    }
+
+    /// Tells whether a relay said anything within a period.
+    #[must_use]
+    pub fn heard_within(&self, now: Instant, relay: SocketAddr, period: Duration) -> bool {
+        let answered = self.find(relay).ok().and_then(|at| self.relays[at].answered_at);
+        answered.is_some_and(|at| now.saturating_duration_since(at) < period)
+    }
+
+    /// Tells whether a relay is to be asked whether it lives, and notes that it is.
+    ///
+    /// All queries that wait for one relay share one question for each `timeout`.
+    pub fn begin_asking(&mut self, now: Instant, relay: SocketAddr, timeout: Duration) -> bool {
+        let known = self.entry(relay);
+        let is_asked = known.asked_at.is_some_and(|at| now.saturating_duration_since(at) < timeout);
+        if !is_asked {
+            known.asked_at = Some(now);
+        }
+        !is_asked
+    }
+
     /// Lists the relays to probe now.
     #[must_use]
     pub fn to_probe(&self, now: Instant) -> Vec<SocketAddr> {
@@ -81,7 +106,7 @@
 
     fn entry(&mut self, relay: SocketAddr) -> &mut Known {
         let at = self.find(relay).unwrap_or_else(|at| {
-            self.relays.insert(at, Known { relay, answered_at: None, down: None });
+            self.relays.insert(at, Known { relay, answered_at: None, asked_at: None, down: None });
             at
         });
         &mut self.relays[at]
