Cut the fleet in two in tests; let connections leave from a host's own address

On one machine a forwarder could not tell hosts apart, because all connections left from one loopback address. Daemons now connect from the address that they listen on, which also shows targets and firewalls one address a host. An entry can bind another address than the one others reach (--internal-listen). Ruled out: two platforms with different host lists (agents would mix them by gossip).

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -57,7 +57,7 @@
     pub fn spawn(options: Options) -> Self {
         let journal = Journal::new(format!("agent@{}", options.host), Clock::new());
         let ops = Ops::new(journal);
-        let client = HttpClient::open(2);
+        let client = HttpClient::open_at(2, options.address);
         let platform = Platform::new(client.clone(), options.platform);
         let (changes, _) = watch::channel(0);
         let state = ArcSwap::default();
@@ -284,7 +284,8 @@
     /// Chooses random peers; seeds from the settings count until hosts are listed.
     fn some_peers(&self, count: usize) -> Vec<SocketAddr> {
         let state = self.state();
-        let listed = state.hosts.hosts.iter().filter_map(|host| host.agent);
+        let others = state.hosts.hosts.iter().filter(|host| host.name != self.inner.options.host);
+        let listed = others.filter_map(|host| host.agent);
         let mut peers: Vec<SocketAddr> = listed.chain(self.inner.options.peers.iter().copied()).collect();
         peers.sort_unstable();
         peers.dedup();
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -67,7 +67,7 @@
             follower,
             ops,
             instruments,
-            client: HttpClient::open(IDLE_CONNECTIONS),
+            client: HttpClient::open_at(IDLE_CONNECTIONS, options.source),
             observed: Mutex::default(),
             relays: Mutex::default(),
             suspects: Mutex::default(),
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -24,6 +24,9 @@
     /// address to listen on for other processes, as they reach it
     #[argh(option)]
     internal: Option<String>,
+    /// address to bind for other processes, where it is not the one that they reach (default: the same)
+    #[argh(option)]
+    internal_listen: Option<String>,
     /// address of this host's agent
     #[argh(option)]
     agent: Option<String>,
@@ -82,6 +85,7 @@
     let host: Option<HostName> = reader.optional("host", args.host, Some("local"));
     let address: Option<SocketAddr> = reader.optional("listen", args.listen, Some("127.0.0.1:8080"));
     let internal: Option<SocketAddr> = reader.optional("internal", args.internal, Some("127.0.0.1:7200"));
+    let internal_listen: Option<SocketAddr> = reader.optional("internal-listen", args.internal_listen, None);
     let agent: Option<SocketAddr> = reader.optional("agent", args.agent, Some("127.0.0.1:7400"));
     let threads = reader.number("threads", args.threads, "2", 1..=64) as usize;
     let limits = HttpLimits {
@@ -104,7 +108,9 @@
         return ExitCode::from(2);
     };
     init_logs(log_format.unwrap_or_default(), &log_level);
+    let internal_listen = internal_listen.unwrap_or(internal);
     let options = Options {
+        source: internal_listen,
         ticket_lifetime,
         tickets_max: tickets,
         shards_max: shards,
@@ -115,7 +121,7 @@
         let journal = Journal::new(format!("entry@{host}"), Clock::new());
         let follower = Follower::spawn(agent, journal.clone());
         let entry = Entry::spawn(options, follower, journal.clone(), traffic.clone());
-        let servers = match bind(&traffic, &entry, address, internal, limits).await {
+        let servers = match bind(&traffic, &entry, address, internal_listen, limits).await {
             Ok(servers) => servers,
             Err(error) => {
                 eprintln!("{error}");
--- a/crates/entry/src/options.rs
+++ b/crates/entry/src/options.rs
@@ -13,6 +13,8 @@
 pub struct Options {
     /// Where the entry listens for other processes of the system.
     pub internal: SocketAddr,
+    /// Where the entry binds for them; its own connections leave from this address.
+    pub source: SocketAddr,
     /// For how long a ticket is valid.
     pub ticket_lifetime: Duration,
     /// Used tickets that are remembered; more non-idempotent work is refused.
@@ -33,6 +35,7 @@
     pub fn new(internal: SocketAddr) -> Self {
         Self {
             internal,
+            source: internal,
             ticket_lifetime: TICKET_LIFETIME,
             tickets_max: TICKETS_MAX,
             ticket_answers_max: TICKET_ANSWERS_MAX,
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -70,7 +70,21 @@
     /// Panics where the library cannot be initialised, which is a bug.
     #[must_use]
     pub fn open(idle: usize) -> Self {
+        Self::open_at(idle, SocketAddr::from(([0, 0, 0, 0], 0)))
+    }
+
+    /// Opens a client whose connections leave from a process's own address.
+    ///
+    /// Peers, targets and firewalls then see one address for each host, also where
+    /// the machine has several. An unspecified address leaves the choice to the system.
+    ///
+    /// # Panics
+    /// Panics where the library cannot be initialised, which is a bug.
+    #[must_use]
+    pub fn open_at(idle: usize, own: SocketAddr) -> Self {
+        let own = Some(own.ip()).filter(|ip| !ip.is_unspecified());
         let inner = reqwest::Client::builder()
+            .local_address(own)
             .no_proxy()
             // At-most-once execution rests on this: the library must not send again by itself.
             .retry(reqwest::retry::never())
--- a/crates/proofs/src/fleet.rs
+++ b/crates/proofs/src/fleet.rs
@@ -1,17 +1,13 @@
 //! A small fleet of real daemons with stand-ins around it.
 
 use std::{
-    net::{IpAddr, Ipv4Addr, SocketAddr},
-    sync::{
-        Mutex, PoisonError,
-        atomic::{AtomicU8, Ordering},
-    },
+    net::SocketAddr,
+    sync::{Mutex, PoisonError},
     time::Duration,
 };
 
 use egret_client::{Client, Query};
-use egret_conf::{Config, Head, Host, HostList, HostState};
-use egret_model::{DataCentre, HostName};
+use egret_conf::{Config, Head, HostList};
 use egret_node::HttpClient;
 use egret_standin::{Execution, Platform, Target, publish_config, publish_hosts};
 use egret_wire::{HeldSnapshot, METRICS_PATH, READY_PATH};
@@ -22,21 +18,16 @@
     time::{Instant, sleep},
 };
 
-use crate::{Daemon, Declared, Role, Shape, SnapshotPlan, Usage};
+use crate::{
+    Daemon, Declared, Passing, Role, Shape, SnapshotPlan, Usage,
+    links::Links,
+    network::{DATA_CENTRES, Network},
+};
 
-const PLATFORM_PORT: u16 = 7000;
-const TARGET_PORT: u16 = 7100;
-const INTERNAL_PORT: u16 = 7200;
-const RELAY_PORT: u16 = 7300;
-const AGENT_PORT: u16 = 7400;
-const ENTRY_PORT: u16 = 8080;
-const FIRST_HOST: u8 = 10;
 const READY_WITHIN: Duration = Duration::from_secs(30);
-const DATA_CENTRES: [&str; 3] = ["seeb", "rusayl", "barka"];
 
 /// Fleets at a time; each is a dozen processes.
 static FLEETS: Semaphore = Semaphore::const_new(2);
-static NETWORKS: AtomicU8 = AtomicU8::new(0);
 
 #[derive(Debug)]
 struct Published {
@@ -54,7 +45,8 @@
     pub platform: Platform,
     /// The stand-in targets by service.
     pub targets: Vec<Vec<Target>>,
-    network: [u8; 3],
+    network: Network,
+    links: Option<Links>,
     shape: Shape,
     /// Where each agent finds the platform.
     platform_of: Vec<SocketAddr>,
@@ -83,17 +75,16 @@
     /// Panics where an address cannot be listened on.
     pub async fn prepare(shape: Shape, platform_of: impl Fn(SocketAddr) -> SocketAddr) -> Self {
         let permit = FLEETS.acquire().await.expect("the semaphore is never closed");
-        let network = new_network();
+        let network = Network::draw();
         let traffic = Handle::current();
-        let platform = Platform::bind(&traffic, address(network, 1, PLATFORM_PORT))
-            .await
-            .expect("the test's addresses are free");
+        let platform =
+            Platform::bind(&traffic, network.platform()).await.expect("the test's addresses are free");
         let mut targets = Vec::new();
         for service in 0..shape.services {
             let mut replicas = Vec::new();
             for replica in 0..shape.replicas {
-                let port = TARGET_PORT + (service * shape.replicas + replica) as u16;
-                let target = Target::bind(&traffic, address(network, 2, port), shape.behaviour.clone()).await;
+                let address = network.target(service * shape.replicas + replica);
+                let target = Target::bind(&traffic, address, shape.behaviour.clone()).await;
                 replicas.push(target.expect("the test's addresses are free"));
             }
             targets.push(replicas);
@@ -104,7 +95,8 @@
         let more_connections = vec![0; shape.services];
         let declared =
             Declared { shape: shape.clone(), targets: addresses, snapshots: vec![first], more_connections };
-        let hosts = host_list(network, shape.hosts);
+        let hosts = network.host_list(shape.hosts, shape.linked);
+        let links = if shape.linked { Some(Links::open(network, shape.hosts).await) } else { None };
         publish_hosts(&platform, &hosts);
         let config = declared.config(1);
         let head = publish_config(&platform, &config, None);
@@ -115,6 +107,7 @@
             platform,
             targets,
             network,
+            links,
             shape,
             daemons: Mutex::new(daemons),
             published: Mutex::new(Published { config, head, hosts }),
@@ -131,7 +124,7 @@
     /// Returns a free address of the fleet's network, for a forwarder.
     #[must_use]
     pub fn spare_address(&self, number: u16) -> SocketAddr {
-        address(self.network, 3, 9000 + number)
+        self.network.spare(number)
     }
 
     /// Starts every daemon.
@@ -151,8 +144,10 @@
         let flags: Vec<String> = match role {
             Role::Agent => {
                 let data_centre = DATA_CENTRES[host % DATA_CENTRES.len()].to_owned();
-                let peers: Vec<String> =
-                    (0..self.shape.hosts).map(|peer| self.address(peer, Role::Agent).to_string()).collect();
+                let peers: Vec<String> = (0..self.shape.hosts)
+                    .filter(|peer| *peer != host)
+                    .map(|peer| self.network.listed(peer, role, self.shape.linked).to_string())
+                    .collect();
                 let platform = self.platform_of[host].to_string();
                 ["--host", &name, "--data-centre", &data_centre, "--listen", &listen, "--platform", &platform]
                     .into_iter()
@@ -166,9 +161,11 @@
                 flags
             }
             Role::Entry => {
-                let internal = self.internal_address(host).to_string();
+                let internal = self.network.listed(host, role, self.shape.linked).to_string();
+                let internal_listen = self.internal_address(host).to_string();
                 let mut flags = own(&["--host", &name, "--listen", &listen, "--agent", &agent]);
-                flags.extend(own(&["--internal", &internal, "--notice-ms", "500"]));
+                flags.extend(own(&["--internal", &internal, "--internal-listen", &internal_listen]));
+                flags.extend(own(&["--notice-ms", "500"]));
                 if self.shape.baseline == "direct" {
                     let relay = self.address(host, Role::Relay).to_string();
                     flags.extend(own(&["--bench-relay", &relay]));
@@ -186,6 +183,25 @@
             Some(Daemon::start(binary, &flags));
     }
 
+    /// Cuts the hosts of one side off from all others; the fleet must be linked.
+    ///
+    /// # Panics
+    /// Panics where it is not.
+    pub fn part(&self, side: &[usize], passing: Passing) {
+        self.links.as_ref().expect("the fleet is linked").part(side, passing);
+    }
+
+    /// Ends every cut between hosts.
+    pub fn heal(&self) {
+        self.links.iter().for_each(Links::heal);
+    }
+
+    /// Returns the addresses that the connections of some hosts leave from.
+    #[must_use]
+    pub fn sources(&self, hosts: &[usize]) -> Vec<std::net::IpAddr> {
+        hosts.iter().map(|host| self.network.host(*host)).collect()
+    }
+
     /// Sends a signal to one daemon.
     pub fn signal(&self, host: usize, role: Role, signal: Signal) {
         let daemons = self.daemons.lock().unwrap_or_else(PoisonError::into_inner);
@@ -333,18 +349,13 @@
     /// Returns where a daemon listens.
     #[must_use]
     pub fn address(&self, host: usize, role: Role) -> SocketAddr {
-        let port = match role {
-            Role::Agent => AGENT_PORT,
-            Role::Relay => RELAY_PORT,
-            Role::Entry => ENTRY_PORT,
-        };
-        address(self.network, FIRST_HOST + host as u8, port)
+        self.network.daemon(host, role)
     }
 
     /// Returns where an entry listens for other processes.
     #[must_use]
     pub fn internal_address(&self, host: usize) -> SocketAddr {
-        address(self.network, FIRST_HOST + host as u8, INTERNAL_PORT)
+        self.network.internal(host)
     }
 }
 
@@ -365,32 +376,3 @@
     let depth = 300 + number * 37 % 3000;
     format!(r#"{{"min_depth_m":{depth},"limit":1000,"number":{number}}}"#)
 }
-
-/// Draws a loopback network that no other test process uses now.
-fn new_network() -> [u8; 3] {
-    let process = std::process::id();
-    let second = 64 + (process % 128) as u8;
-    let third = NETWORKS.fetch_add(1, Ordering::SeqCst);
-    [127, second, third]
-}
-
-fn address(network: [u8; 3], last: u8, port: u16) -> SocketAddr {
-    let [a, b, c] = network;
-    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(a, b, c, last)), port)
-}
-
-fn host_list(network: [u8; 3], count: usize) -> HostList {
-    let host = |number: usize| {
-        let at = |port| Some(address(network, FIRST_HOST + number as u8, port));
-        Host {
-            name: HostName::new(format!("host-{number}")).expect("the name is valid"),
-            data_centre: DataCentre::new(DATA_CENTRES[number % DATA_CENTRES.len()])
-                .expect("the name is valid"),
-            state: HostState::Live,
-            agent: at(AGENT_PORT),
-            relay: at(RELAY_PORT),
-            entry: at(INTERNAL_PORT),
-        }
-    };
-    HostList { revision: 1, hosts: (0..count).map(host).collect() }
-}
--- a/crates/proofs/src/forwarder.rs
+++ b/crates/proofs/src/forwarder.rs
@@ -1,10 +1,14 @@
 //! A forwarder that can cut and delay connections.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 use tokio::{
     io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::watch,
     time::sleep,
 };
@@ -22,11 +26,26 @@
     Silent,
 }
 
+/// What a forwarder does with whom.
+#[derive(Clone, Debug)]
+struct Rules {
+    usual: Passing,
+    /// What it does with connections from some addresses instead.
+    sources: Vec<(IpAddr, Passing)>,
+}
+
+impl Rules {
+    fn passing(&self, source: IpAddr) -> Passing {
+        let own = self.sources.iter().find(|(address, _)| *address == source);
+        own.map_or(self.usual, |(_, passing)| *passing)
+    }
+}
+
 /// A running forwarder; clones share it.
 #[derive(Clone, Debug)]
 pub struct Forwarder {
     address: SocketAddr,
-    passing: Arc<watch::Sender<Passing>>,
+    rules: Arc<watch::Sender<Rules>>,
 }
 
 impl Forwarder {
@@ -37,9 +56,10 @@
     pub async fn bind(address: SocketAddr, target: SocketAddr) -> Self {
         let listener = TcpListener::bind(address).await.expect("the test's addresses are free");
         let address = listener.local_addr().expect("a listener has an address");
-        let passing = Arc::new(watch::Sender::new(Passing::Open));
-        tokio::spawn(serve(listener, target, Arc::clone(&passing)));
-        Self { address, passing }
+        let rules = Rules { usual: Passing::Open, sources: Vec::new() };
+        let rules = Arc::new(watch::Sender::new(rules));
+        tokio::spawn(serve(listener, target, Arc::clone(&rules)));
+        Self { address, rules }
     }
 
     /// Returns the address that it listens on.
@@ -48,47 +68,62 @@
         self.address
     }
 
-    /// Changes what it does, for open connections too.
+    /// Changes what it does with connections from some addresses, also open ones.
+    pub fn set_for(&self, sources: impl IntoIterator<Item = IpAddr>, passing: Passing) {
+        let sources = sources.into_iter().map(|source| (source, passing)).collect();
+        self.rules.send_modify(|rules| rules.sources = sources);
+    }
+
+    /// Changes what it does with all connections, also open ones.
     pub fn set(&self, passing: Passing) {
-        self.passing.send_replace(passing);
+        self.rules.send_replace(Rules { usual: passing, sources: Vec::new() });
     }
 }
 
-async fn serve(listener: TcpListener, target: SocketAddr, passing: Arc<watch::Sender<Passing>>) {
-    while let Ok((near, _)) = listener.accept().await {
-        let passing = Arc::clone(&passing);
+async fn serve(listener: TcpListener, target: SocketAddr, rules: Arc<watch::Sender<Rules>>) {
+    while let Ok((near, source)) = listener.accept().await {
+        let (rules, source) = (Arc::clone(&rules), source.ip());
         tokio::spawn(async move {
-            if *passing.borrow() == Passing::Cut {
+            if rules.borrow().passing(source) == Passing::Cut {
                 let _ = near.set_zero_linger();
                 return;
             }
-            let Ok(far) = TcpStream::connect(target).await else { return };
+            let Ok(far) = connect(source, target).await else { return };
             let (near_read, near_write) = near.into_split();
             let (far_read, far_write) = far.into_split();
-            let mut cuts = passing.subscribe();
+            let mut cuts = rules.subscribe();
             tokio::select! {
-                () = copy(near_read, far_write, &passing) => {}
-                () = copy(far_read, near_write, &passing) => {}
-                _ = cuts.wait_for(|passing| *passing == Passing::Cut) => {}
+                () = copy(near_read, far_write, source, &rules) => {}
+                () = copy(far_read, near_write, source, &rules) => {}
+                _ = cuts.wait_for(|rules| rules.passing(source) == Passing::Cut) => {}
             }
         });
     }
 }
 
+/// Connects from the address that the connection came from, as a network without proxies does.
+async fn connect(source: IpAddr, target: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.set_nodelay(true)?;
+    socket.connect(target).await
+}
+
 async fn copy(
     mut from: impl AsyncRead + Unpin,
     mut to: impl AsyncWrite + Unpin,
-    passing: &watch::Sender<Passing>,
+    source: IpAddr,
+    rules: &watch::Sender<Rules>,
 ) {
     let mut buf = vec![0; 16 << 10];
-    let mut changes = passing.subscribe();
+    let mut changes = rules.subscribe();
     loop {
         let Ok(count @ 1..) = from.read(&mut buf).await else { return };
-        let now = *passing.borrow();
+        let now = rules.borrow().passing(source);
         if let Passing::Delayed(delay) = now {
             sleep(delay).await;
         }
-        if changes.wait_for(|passing| *passing != Passing::Silent).await.is_err() {
+        if changes.wait_for(|rules| rules.passing(source) != Passing::Silent).await.is_err() {
             return;
         }
         if to.write_all(&buf[..count]).await.is_err() {
--- a/crates/proofs/src/lib.rs
+++ b/crates/proofs/src/lib.rs
@@ -24,6 +24,8 @@
 mod fleet;
 mod forwarder;
 mod history;
+mod links;
+mod network;
 mod shape;
 
 pub use check::{check_answer, check_at_most_once, executions_of};
--- /dev/null
+++ b/crates/proofs/src/network.rs
@@ -0,0 +1,96 @@
+//! The loopback addresses of one fleet.
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::atomic::{AtomicU8, Ordering},
+};
+
+use egret_conf::{Host, HostList, HostState};
+use egret_model::{DataCentre, HostName};
+
+use crate::Role;
+
+const PLATFORM_PORT: u16 = 7000;
+const TARGET_PORT: u16 = 7100;
+const INTERNAL_PORT: u16 = 7200;
+const RELAY_PORT: u16 = 7300;
+const AGENT_PORT: u16 = 7400;
+const ENTRY_PORT: u16 = 8080;
+const SPARE_PORT: u16 = 9000;
+const FIRST_HOST: u8 = 10;
+/// Forwarders stand at these addresses, where hosts are listed there.
+const FIRST_LINK: u8 = 100;
+
+pub(crate) const DATA_CENTRES: [&str; 3] = ["seeb", "rusayl", "barka"];
+
+static NETWORKS: AtomicU8 = AtomicU8::new(0);
+
+/// The first three numbers of a fleet's addresses.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Network([u8; 3]);
+
+impl Network {
+    /// Draws a network that no other test process uses now.
+    pub(crate) fn draw() -> Self {
+        let second = 64 + (std::process::id() % 128) as u8;
+        Self([127, second, NETWORKS.fetch_add(1, Ordering::SeqCst)])
+    }
+
+    pub(crate) fn platform(self) -> SocketAddr {
+        self.at(1, PLATFORM_PORT)
+    }
+
+    pub(crate) fn target(self, number: usize) -> SocketAddr {
+        self.at(2, TARGET_PORT + number as u16)
+    }
+
+    pub(crate) fn spare(self, number: u16) -> SocketAddr {
+        self.at(3, SPARE_PORT + number)
+    }
+
+    /// Returns the address of a host, which its connections leave from.
+    pub(crate) fn host(self, host: usize) -> IpAddr {
+        self.at(FIRST_HOST + host as u8, 0).ip()
+    }
+
+    pub(crate) fn daemon(self, host: usize, role: Role) -> SocketAddr {
+        SocketAddr::new(self.host(host), port(role))
+    }
+
+    pub(crate) fn internal(self, host: usize) -> SocketAddr {
+        SocketAddr::new(self.host(host), INTERNAL_PORT)
+    }
+
+    /// Returns where other hosts reach a daemon; entries at their internal side.
+    pub(crate) fn listed(self, host: usize, role: Role, linked: bool) -> SocketAddr {
+        let port = if role == Role::Entry { INTERNAL_PORT } else { port(role) };
+        let first = if linked { FIRST_LINK } else { FIRST_HOST };
+        self.at(first + host as u8, port)
+    }
+
+    pub(crate) fn host_list(self, hosts: usize, linked: bool) -> HostList {
+        let host = |number: usize| Host {
+            name: HostName::new(format!("host-{number}")).expect("the name is valid"),
+            data_centre: DataCentre::new(DATA_CENTRES[number % DATA_CENTRES.len()])
+                .expect("the name is valid"),
+            state: HostState::Live,
+            agent: Some(self.listed(number, Role::Agent, linked)),
+            relay: Some(self.listed(number, Role::Relay, linked)),
+            entry: Some(self.listed(number, Role::Entry, linked)),
+        };
+        HostList { revision: 1, hosts: (0..hosts).map(host).collect() }
+    }
+
+    fn at(self, last: u8, port: u16) -> SocketAddr {
+        let Self([a, b, c]) = self;
+        SocketAddr::new(IpAddr::V4(Ipv4Addr::new(a, b, c, last)), port)
+    }
+}
+
+fn port(role: Role) -> u16 {
+    match role {
+        Role::Agent => AGENT_PORT,
+        Role::Relay => RELAY_PORT,
+        Role::Entry => ENTRY_PORT,
+    }
+}
--- a/crates/proofs/src/shape.rs
+++ b/crates/proofs/src/shape.rs
@@ -29,6 +29,8 @@
     pub hedge_percent: f64,
     /// How every target behaves at first.
     pub behaviour: Behaviour,
+    /// Whether forwarders stand between the hosts, so that they can be cut off from each other.
+    pub linked: bool,
     /// More settings of entries.
     pub entry_flags: Vec<String>,
     /// The simple design that relays run in place of the product's decisions.
@@ -50,6 +52,7 @@
             retry_percent: 10.0,
             hedge_percent: 2.0,
             behaviour: Behaviour { slots: 2, service_us: 2000, records: 20, ..Behaviour::default() },
+            linked: false,
             entry_flags: Vec::new(),
             baseline: "none",
         }
--- /dev/null
+++ b/crates/proofs/tests/partition.rs
@@ -0,0 +1,176 @@
+//! A network partition splits the fleet while each side keeps serving.
+
+use std::{sync::Arc, time::Duration};
+
+use egret_client::{Client, Query};
+use egret_model::Ran;
+use egret_proofs::{
+    Fleet, Forwarder, Passing, Role, Shape, VersionHistory, check_answer, check_at_most_once, judge_not_run,
+};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep},
+};
+
+/// The bound for a published configuration.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(6);
+const CUT_LASTS: Duration = Duration::from_secs(5);
+const SIDE: [usize; 2] = [0, 1];
+const OTHER_SIDE: [usize; 2] = [2, 3];
+const VERSION: &str = "egret_config_version";
+
+/// Starts four hosts, all of which reach the platform through the returned forwarder.
+async fn start() -> (Arc<Fleet>, Forwarder) {
+    let shape = Shape { hosts: 4, linked: true, budget_ms: 500, ..Shape::default() };
+    let mut fleet = Fleet::prepare(shape, |platform| platform).await;
+    let platform = Forwarder::bind(fleet.spare_address(0), fleet.platform.address()).await;
+    for host in 0..4 {
+        fleet.route_platform(host, platform.address());
+    }
+    fleet.start_daemons();
+    fleet.wait_ready().await;
+    (Arc::new(fleet), platform)
+}
+
+/// Asks one side until the end and returns its last answer that missed a shard, and all answers.
+async fn ask_side(fleet: Arc<Fleet>, side: [usize; 2], end: Instant) -> (Duration, usize) {
+    let started = Instant::now();
+    let (mut last_short, mut answered) = (Duration::ZERO, 0);
+    let mut number = side[0] as u64 * 100_000;
+    while Instant::now() < end {
+        number += 1;
+        let client = fleet.client_of(side[number as usize % 2]);
+        match client.query_once(&fleet.lookup(number)).await {
+            Ok(answer) => {
+                check_answer(&fleet, number, &answer);
+                answered += 1;
+                if !answer.missing.is_empty() {
+                    last_short = started.elapsed();
+                }
+            }
+            Err(_) => last_short = started.elapsed(),
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    (last_short, answered)
+}
+
+/// What became of bids.
+#[derive(Debug, Default)]
+struct Bids {
+    answered: usize,
+    unknown: usize,
+    /// Marks of bids whose every refusal said that they did not run.
+    never: Vec<String>,
+}
+
+/// Sends each bid through entries of both sides until one answers.
+async fn bid(client: Client, caller: usize, end: Instant) -> Bids {
+    let mut bids = Bids::default();
+    let mut number = 0;
+    while Instant::now() < end {
+        number += 1;
+        let mark = format!("bid-{caller}-{number}-");
+        let Ok(ticket) = client.ticket().await else { continue };
+        let query = Query::group("desk", "file", &format!(r#"{{"mark":"{mark}"}}"#)).unwrap();
+        let query = query.non_idempotent().ticket(ticket.ticket).budget(Duration::from_millis(400));
+        let mut ran = Ran::No;
+        let mut is_answered = false;
+        for _ in 0..4 {
+            match client.query_once(&query).await {
+                Ok(_) => {
+                    is_answered = true;
+                    break;
+                }
+                Err(error) => ran = ran.and(error.ran()),
+            }
+        }
+        match ran {
+            _ if is_answered => bids.answered += 1,
+            Ran::No => bids.never.push(mark),
+            Ran::Yes | Ran::Unknown => bids.unknown += 1,
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    bids
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn each_side_serves_and_bids_run_at_most_once() {
+    for passing in [Passing::Silent, Passing::Cut] {
+        let (fleet, platform) = start().await;
+        let end = Instant::now() + CUT_LASTS;
+        let mut sides = JoinSet::new();
+        [SIDE, OTHER_SIDE]
+            .into_iter()
+            .for_each(|side| drop(sides.spawn(ask_side(Arc::clone(&fleet), side, end))));
+        let mut bidders = JoinSet::new();
+        (0..3).for_each(|caller| drop(bidders.spawn(bid(fleet.client(), caller, end + CUT_LASTS / 2))));
+        platform.set_for(fleet.sources(&OTHER_SIDE), passing);
+        fleet.part(&SIDE, passing);
+        let served = sides.join_all().await;
+        platform.set(Passing::Open);
+        fleet.heal();
+        let mut all = Bids::default();
+        for bids in bidders.join_all().await {
+            all.answered += bids.answered;
+            all.unknown += bids.unknown;
+            all.never.extend(bids.never);
+        }
+        println!(
+            "{passing:?}: sides {served:?}; bids: {} answered, {} unknown, {} not run",
+            all.answered,
+            all.unknown,
+            all.never.len()
+        );
+        for (last_short, answered) in served {
+            assert!(answered > 20, "a side answered only {answered}");
+            assert!(last_short < Duration::from_secs(3), "a side was short until {last_short:?}");
+        }
+        assert!(all.answered > 20, "{all:?}");
+        check_at_most_once(&fleet);
+        assert_eq!(judge_not_run(&fleet.executions(), &all.never), Ok(()));
+    }
+}
+
+async fn version(fleet: &Fleet, host: usize) -> u64 {
+    fleet.metric(host, Role::Entry, VERSION).await as u64
+}
+
+/// A side without the platform keeps its version, and takes the newer one once the network heals.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_side_without_the_platform_catches_up_when_the_network_heals() {
+    let (fleet, platform) = start().await;
+    platform.set_for(fleet.sources(&OTHER_SIDE), Passing::Silent);
+    fleet.part(&SIDE, Passing::Silent);
+    let mut history = VersionHistory::begin(4, 1);
+    history.publish(2);
+    assert_eq!(fleet.publish(|declared| declared.shape.slots += 1), 2);
+    let published = Instant::now();
+    while version(&fleet, 0).await != 2 || version(&fleet, 1).await != 2 {
+        assert!(published.elapsed() < IN_FORCE_WITHIN, "the side with the platform is late");
+        sleep(Duration::from_millis(50)).await;
+    }
+    for host in 0..4 {
+        history.read(host, version(&fleet, host).await);
+    }
+    assert_eq!((version(&fleet, 2).await, version(&fleet, 3).await), (1, 1), "the cut leaks");
+    // The platform goes down as the network heals, so that only peers can tell.
+    platform.set(Passing::Cut);
+    fleet.heal();
+    let healed = Instant::now();
+    loop {
+        let mut versions = Vec::new();
+        for host in 0..4 {
+            versions.push(version(&fleet, host).await);
+        }
+        history.read_all(&versions);
+        if versions == [2; 4] {
+            break;
+        }
+        assert!(healed.elapsed() < IN_FORCE_WITHIN, "versions are {versions:?}");
+        sleep(Duration::from_millis(50)).await;
+    }
+    history.in_force(2);
+    assert_eq!(history.judge(), Ok(()));
+}
--- a/crates/proofs/tests/relay_in_process.rs
+++ b/crates/proofs/tests/relay_in_process.rs
@@ -8,7 +8,7 @@
     DataCentre, Fingerprint, HostName, Incarnation, PlacementId, QueryId, Ran, SnapshotId, Version,
 };
 use egret_node::{Follower, View};
-use egret_relay::Relay;
+use egret_relay::{Options, Relay};
 use egret_standin::{Behaviour, Target};
 use egret_wire::{LocalState, Scatter, ScatterPart};
 use tokio::{
@@ -96,8 +96,8 @@
     let target = bound.await.unwrap().unwrap();
     let journal = Journal::new("relay@host-0", Clock::new());
     let follower = Follower::fixed(view(target.address()));
-    let relay =
-        Relay::spawn("host-0".parse().unwrap(), follower, journal, Handle::current(), Default::default());
+    let options = Options::new("host-0".parse().unwrap(), "127.0.0.1:7300".parse().unwrap());
+    let relay = Relay::spawn(options, follower, journal, Handle::current());
     sleep(Duration::from_millis(1500)).await;
     let started = Instant::now();
     let learned = relay.answer(scatter(1, &["s0"], Duration::from_secs(1))).await;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,11 +7,12 @@
 //!
 //! ```no_run
 //! use egret_node::{Follower, HttpLimits, HttpServer};
-//! use egret_relay::Relay;
+//! use egret_relay::{Options, Relay};
 //!
 //! # async fn start(traffic: tokio::runtime::Handle, follower: Follower, journal: egret_events::Journal) {
-//! let relay = Relay::spawn("seeb-1".parse().unwrap(), follower, journal, traffic.clone(), Default::default());
 //! let address = "127.0.0.1:7300".parse().unwrap();
+//! let options = Options::new("seeb-1".parse().unwrap(), address);
+//! let relay = Relay::spawn(options, follower, journal, traffic.clone());
 //! let server = HttpServer::bind(&traffic, address, HttpLimits::default(), relay.site()).await;
 //! # }
 //! ```
@@ -24,6 +25,7 @@
 mod cell;
 mod instruments;
 mod ledger;
+mod options;
 mod probe;
 mod relay;
 mod scatter;
@@ -32,5 +34,6 @@
 mod slot;
 mod tell;
 
+pub use options::Options;
 pub use relay::Relay;
 pub use site::RelaySite;
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -7,7 +7,7 @@
 use egret_model::HostName;
 use egret_node::{Follower, HttpLimits, HttpServer, LogFormat, init_logs, run, stop_signal};
 use egret_policy::Baseline;
-use egret_relay::Relay;
+use egret_relay::{Options, Relay};
 use egret_settings::{Environment, Reader, check_or_exit};
 
 /// Owns the connections to the targets of the services assigned to this host.
@@ -62,10 +62,12 @@
     check_or_exit(reader, args.check);
     let (Some(host), Some(address), Some(agent)) = (host, address, agent) else { return ExitCode::from(2) };
     init_logs(log_format.unwrap_or_default(), &log_level);
+    let journal_name = format!("relay@{host}");
+    let options = Options { baseline, ..Options::new(host, address) };
     run(threads, async |traffic| {
-        let journal = Journal::new(format!("relay@{host}"), Clock::new());
+        let journal = Journal::new(journal_name, Clock::new());
         let follower = Follower::spawn(agent, journal.clone());
-        let relay = Relay::spawn(host, follower, journal.clone(), traffic.clone(), baseline);
+        let relay = Relay::spawn(options, follower, journal.clone(), traffic.clone());
         let server = match HttpServer::bind(&traffic, address, HttpLimits::internal(), relay.site()).await {
             Ok(server) => server,
             Err(error) => {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -17,7 +17,7 @@
 use tokio::runtime::Handle;
 
 use crate::{
-    RelaySite,
+    Options, RelaySite,
     instruments::Instruments,
     probe::probe_due,
     scatter::{self, find_service},
@@ -37,8 +37,7 @@
 
 #[derive(Debug)]
 struct Inner {
-    host: HostName,
-    baseline: Baseline,
+    options: Options,
     incarnation: Incarnation,
     follower: Follower,
     ops: Ops,
@@ -53,24 +52,17 @@
 impl Relay {
     /// Starts a relay: control on the current runtime, targets on `traffic`.
     #[must_use]
-    pub fn spawn(
-        host: HostName,
-        follower: Follower,
-        journal: Journal,
-        traffic: Handle,
-        baseline: Baseline,
-    ) -> Self {
+    pub fn spawn(options: Options, follower: Follower, journal: Journal, traffic: Handle) -> Self {
         let ops = Ops::new(journal);
         let instruments = Instruments::open(&ops.metrics);
         let inner = Inner {
-            host,
-            baseline,
+            client: HttpClient::open_at(IDLE_CONNECTIONS, options.address),
+            options,
             incarnation: new_incarnation(),
             follower,
             ops,
             instruments,
             traffic,
-            client: HttpClient::open(IDLE_CONNECTIONS),
             services: ArcSwap::default(),
             suspects: Mutex::default(),
             attempts: AtomicU64::new(0),
@@ -114,7 +106,7 @@
     }
 
     pub(crate) fn host(&self) -> &HostName {
-        &self.inner.host
+        &self.inner.options.host
     }
 
     pub(crate) fn view(&self) -> Arc<View> {
@@ -199,13 +191,15 @@
         let old = self.inner.services.load_full();
         let mut services: Vec<Arc<ServiceState>> = Vec::new();
         for service in view.config.services() {
-            let mine =
-                view.block(&service.block).is_some_and(|block| block.has_candidate(self.inner.host.as_str()));
-            if !mine && self.inner.baseline != Baseline::Direct {
+            let mine = view
+                .block(&service.block)
+                .is_some_and(|block| block.has_candidate(self.inner.options.host.as_str()));
+            if !mine && self.inner.options.baseline != Baseline::Direct {
                 continue;
             }
-            let state = find_service(&old, &service.name)
-                .unwrap_or_else(|| Arc::new(ServiceState::new(Arc::clone(service), self.inner.baseline)));
+            let state = find_service(&old, &service.name).unwrap_or_else(|| {
+                Arc::new(ServiceState::new(Arc::clone(service), self.inner.options.baseline))
+            });
             state.configure(service, &view.hosts);
             services.push(state);
         }
