Run whole daemons in scripted scenarios on a paused clock

Cause: the scripted scenarios covered only the dispatcher; faults of several processes together were shown by process tests alone, which take seconds each and cannot say exactly when a fault happens. Every answer is judged; each script runs twice and must print the same.

An attempt read the system's clock in one place instead of the runtime's; that is mended.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -57,7 +57,7 @@
     pub fn spawn(options: Options) -> Self {
         let journal = Journal::new(format!("agent@{}", options.host), Clock::new());
         let ops = Ops::new(journal);
-        let client = HttpClient::open_at(2, options.address);
+        let client = options.client.clone();
         let platform = Platform::new(client.clone(), options.platform);
         let (changes, _) = watch::channel(0);
         let state = ArcSwap::default();
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -30,7 +30,7 @@
 
 pub use agent::Agent;
 pub use error::FetchError;
-pub use options::Options;
+pub use options::{IDLE_CONNECTIONS, Options};
 pub use policy::{WATCHERS_PER_DATA_CENTRE, is_watcher};
 pub use site::AgentSite;
 pub use state::AgentState;
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -3,10 +3,10 @@
 use std::{net::SocketAddr, process::ExitCode, time::Duration};
 
 use argh::FromArgs;
-use egret_agent::{Agent, Options};
+use egret_agent::{Agent, IDLE_CONNECTIONS, Options};
 use egret_events::Code;
 use egret_model::{DataCentre, HostName};
-use egret_node::{HttpLimits, HttpServer, LogFormat, init_logs, run, stop_signal};
+use egret_node::{HttpClient, HttpLimits, HttpServer, LogFormat, init_logs, run, stop_signal};
 use egret_settings::{Environment, Reader, check_or_exit};
 
 const TRAFFIC_THREADS: usize = 1;
@@ -67,7 +67,8 @@
         return ExitCode::from(2);
     };
     init_logs(log_format.unwrap_or_default(), &log_level);
-    let options = Options { host, data_centre, address, platform, peers, gossip };
+    let client = HttpClient::open_at(IDLE_CONNECTIONS, address);
+    let options = Options { host, data_centre, address, client, platform, peers, gossip };
     run(TRAFFIC_THREADS, async |traffic| {
         let agent = Agent::spawn(options);
         let journal = agent.ops().journal.clone();
--- a/crates/agent/src/options.rs
+++ b/crates/agent/src/options.rs
@@ -3,6 +3,10 @@
 use std::{net::SocketAddr, time::Duration};
 
 use egret_model::{DataCentre, HostName};
+use egret_node::HttpClient;
+
+/// Unused connections that an agent keeps to one peer.
+pub const IDLE_CONNECTIONS: usize = 2;
 
 /// The options of one agent.
 #[derive(Clone, Debug)]
@@ -13,6 +17,8 @@
     pub data_centre: DataCentre,
     /// Where the agent listens, as its peers reach it.
     pub address: SocketAddr,
+    /// The client for peers and the platform.
+    pub client: HttpClient,
     /// The platform's configuration service.
     pub platform: SocketAddr,
     /// Agents to ask before any host list is known.
@@ -28,10 +34,12 @@
     /// Returns `None` where a name or an address is not valid.
     #[must_use]
     pub fn local(host: &str, address: &str, platform: &str) -> Option<Self> {
+        let address = address.parse().ok()?;
         Some(Self {
             host: HostName::new(host).ok()?,
             data_centre: DataCentre::new("local").ok()?,
-            address: address.parse().ok()?,
+            address,
+            client: HttpClient::open_at(IDLE_CONNECTIONS, address),
             platform: platform.parse().ok()?,
             peers: Vec::new(),
             gossip: Duration::from_millis(1000),
--- a/crates/client/src/query.rs
+++ b/crates/client/src/query.rs
@@ -35,6 +35,12 @@
         Ok(query)
     }
 
+    /// Returns the request as it is sent.
+    #[must_use]
+    pub fn request(&self) -> &QueryRequest {
+        &self.request
+    }
+
     /// Sets the time budget; coming back counts against it too.
     #[must_use]
     pub fn budget(mut self, budget: Duration) -> Self {
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -9,6 +9,7 @@
 use egret_events::{Code, Journal};
 use egret_model::{
     Fingerprint, Incarnation, MissCause, QueryId, Ran, Refusal, RefusalKind, ServiceName, SnapshotShards,
+    Version,
 };
 use egret_node::{ExchangeError, Follower, HttpClient, Ops, View, new_incarnation, new_query_id};
 use egret_policy::{PauseDetector, RelayHealth, Suspects};
@@ -27,7 +28,6 @@
 
 const TICK: Duration = Duration::from_millis(100);
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
-const IDLE_CONNECTIONS: usize = 256;
 const PLANS_MAX: usize = 3;
 /// For requests whose own budget cannot be told, because they break the interface.
 const BUDGET_UNKNOWN: Duration = Duration::from_secs(1);
@@ -46,7 +46,6 @@
     follower: Follower,
     ops: Ops,
     instruments: Instruments,
-    client: HttpClient,
     tickets: Tickets,
     observed: Mutex<Observed>,
     relays: Mutex<RelayHealth>,
@@ -67,7 +66,6 @@
             follower,
             ops,
             instruments,
-            client: HttpClient::open_at(IDLE_CONNECTIONS, options.source),
             observed: Mutex::default(),
             relays: Mutex::default(),
             suspects: Mutex::default(),
@@ -96,6 +94,12 @@
         &self.inner.ops
     }
 
+    /// Returns the version of the configuration in force, 0 where there is none.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        self.inner.follower.view().config.version()
+    }
+
     /// Runs a query to its end.
     pub(crate) async fn run(&self, request: &QueryRequest) -> Outcome {
         let started = now();
@@ -213,7 +217,7 @@
     }
 
     pub(crate) fn client(&self) -> &HttpClient {
-        &self.inner.client
+        &self.inner.options.client
     }
 
     pub(crate) fn incarnation(&self) -> Incarnation {
@@ -329,7 +333,7 @@
     }
 
     async fn probe(&self, relay: SocketAddr) {
-        let answer = self.inner.client.get(relay, READY_PATH, PROBE_TIMEOUT).await;
+        let answer = self.client().get(relay, READY_PATH, PROBE_TIMEOUT).await;
         if answer.is_ok_and(|exchange| exchange.status == 200) {
             self.relay_answered(relay, false);
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,7 +9,7 @@
 //!
 //! # async fn start(traffic: tokio::runtime::Handle, follower: Follower, journal: egret_events::Journal) {
 //! let internal = "127.0.0.1:7200".parse().unwrap();
-//! let entry = Entry::spawn(Options::new(internal), follower, journal, traffic.clone());
+//! let entry = Entry::spawn(Options::new(internal, internal), follower, journal, traffic.clone());
 //! let address = "127.0.0.1:8080".parse().unwrap();
 //! let callers = HttpServer::bind(&traffic, address, HttpLimits::default(), entry.caller_site()).await;
 //! let others = HttpServer::bind(&traffic, internal, HttpLimits::internal(), entry.internal_site()).await;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -6,7 +6,9 @@
 use egret_entry::{Entry, Options};
 use egret_events::{Clock, Code, Journal};
 use egret_model::HostName;
-use egret_node::{Follower, HttpLimits, HttpServer, LogFormat, NodeError, init_logs, run, stop_signal};
+use egret_node::{
+    Follower, HttpClient, HttpLimits, HttpServer, LogFormat, NodeError, init_logs, run, stop_signal,
+};
 use egret_settings::{Environment, Reader, check_or_exit};
 use tokio::runtime::Handle;
 
@@ -110,16 +112,15 @@
     init_logs(log_format.unwrap_or_default(), &log_level);
     let internal_listen = internal_listen.unwrap_or(internal);
     let options = Options {
-        source: internal_listen,
         ticket_lifetime,
         tickets_max: tickets,
         shards_max: shards,
         bench_relay,
-        ..Options::new(internal)
+        ..Options::new(internal, internal_listen)
     };
     run(threads, async |traffic| {
         let journal = Journal::new(format!("entry@{host}"), Clock::new());
-        let follower = Follower::spawn(agent, journal.clone());
+        let follower = Follower::spawn(HttpClient::open(1), agent, journal.clone());
         let entry = Entry::spawn(options, follower, journal.clone(), traffic.clone());
         let servers = match bind(&traffic, &entry, address, internal_listen, limits).await {
             Ok(servers) => servers,
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -17,6 +17,16 @@
 }
 
 impl Call {
+    /// Creates a request to a path, which may end with a question mark and parameters.
+    #[must_use]
+    pub fn new(method: &str, path: &str, body: impl Into<Bytes>) -> Self {
+        let (path, query) = match path.split_once('?') {
+            Some((path, query)) => (path, Some(query.to_owned())),
+            None => (path, None),
+        };
+        Self { method: method.to_owned(), path: path.to_owned(), query, body: body.into() }
+    }
+
     /// Returns a parameter of the query text.
     #[must_use]
     pub fn parameter(&self, name: &str) -> Option<&str> {
--- /dev/null
+++ b/crates/node/src/carrier.rs
@@ -0,0 +1,19 @@
+//! Carrying requests without a network.
+
+use std::{fmt::Debug, net::SocketAddr};
+
+use futures_util::future::BoxFuture;
+
+use crate::{Call, Exchange, ExchangeError};
+
+/// Carries a process's requests in place of the network.
+///
+/// Scenarios run whole daemons in one process on a paused clock; a carrier of their
+/// own delays, loses and cuts messages there. It must not answer before the peer did.
+pub trait Carrier: Debug + Send + Sync + 'static {
+    /// Carries a request to `to` and its answer back.
+    ///
+    /// # Errors
+    /// Says whether the request may have arrived.
+    fn carry(&self, to: SocketAddr, call: Call) -> BoxFuture<'static, Result<Exchange, ExchangeError>>;
+}
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -1,11 +1,14 @@
 //! The HTTP client of every daemon.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
+use reqwest::{Method, header::CONTENT_TYPE};
 use serde::{Serialize, de::DeserializeOwned};
 
+use crate::{Call, Carrier};
+
 /// An exchange that failed, and whether the request may have left.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 pub enum ExchangeError {
@@ -57,9 +60,25 @@
 /// A client with pooled HTTP/1.1 connections that never sends a request twice.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    inner: reqwest::Client,
+    transport: Transport,
 }
 
+#[derive(Clone, Debug)]
+enum Transport {
+    Network(reqwest::Client),
+    Carried(Arc<dyn Carrier>),
+}
+
+/// A request on its way out.
+struct Message<'a> {
+    method: Method,
+    path: &'a str,
+    media_type: &'static str,
+    body: Vec<u8>,
+}
+
+const JSON: &str = "application/json";
+const PACKED: &str = "application/msgpack";
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 
@@ -95,7 +114,13 @@
             .tcp_nodelay(true)
             .build()
             .expect("the client needs no resource that can be missing");
-        Self { inner }
+        Self { transport: Transport::Network(inner) }
+    }
+
+    /// Creates a client whose requests a carrier takes, for scenarios without a network.
+    #[must_use]
+    pub fn carried(carrier: Arc<dyn Carrier>) -> Self {
+        Self { transport: Transport::Carried(carrier) }
     }
 
     /// Sends a GET request.
@@ -108,14 +133,17 @@
         path: &str,
         within: Duration,
     ) -> Result<Exchange, ExchangeError> {
-        let request = self.inner.get(url(address, path));
-        exchange(address, request, within).await
+        let message = Message { method: Method::GET, path, media_type: JSON, body: Vec::new() };
+        self.exchange(address, message, within).await
     }
 
     /// Sends JSON.
     ///
     /// # Errors
     /// Says whether the request may have left.
+    ///
+    /// # Panics
+    /// Panics where a message has no JSON form, which is a bug.
     pub async fn post_json(
         &self,
         address: SocketAddr,
@@ -123,8 +151,9 @@
         body: &(impl Serialize + Sync),
         within: Duration,
     ) -> Result<Exchange, ExchangeError> {
-        let request = self.inner.post(url(address, path)).json(body);
-        exchange(address, request, within).await
+        let body = serde_json::to_vec(body).expect("messages have a JSON form");
+        let message = Message { method: Method::POST, path, media_type: JSON, body };
+        self.exchange(address, message, within).await
     }
 
     /// Sends MessagePack and decodes the answer.
@@ -138,35 +167,52 @@
         body: &(impl Serialize + Sync),
         within: Duration,
     ) -> Result<T, ExchangeError> {
-        let request = self.inner.post(url(address, path)).body(egret_wire::encode(body));
-        let answer = exchange(address, request, within).await?;
+        let body = egret_wire::encode(body);
+        let message = Message { method: Method::POST, path, media_type: PACKED, body };
+        let answer = self.exchange(address, message, within).await?;
         if answer.status != 200 {
             return Err(ExchangeError::BadAnswer { address, reason: format!("status {}", answer.status) });
         }
         egret_wire::decode(&answer.body)
             .map_err(|error| ExchangeError::BadAnswer { address, reason: error.to_string() })
     }
-}
 
-fn url(address: SocketAddr, path: &str) -> String {
-    format!("http://{address}{path}")
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        message: Message<'_>,
+        within: Duration,
+    ) -> Result<Exchange, ExchangeError> {
+        let answer = async {
+            match &self.transport {
+                Transport::Network(client) => send(client, address, message).await,
+                Transport::Carried(carrier) => {
+                    let call = Call::new(message.method.as_str(), message.path, message.body);
+                    carrier.carry(address, call).await
+                }
+            }
+        };
+        let answer = tokio::time::timeout(within, answer).await;
+        answer.unwrap_or(Err(ExchangeError::Timeout { address }))
+    }
 }
 
-async fn exchange(
+async fn send(
+    client: &reqwest::Client,
     address: SocketAddr,
-    request: reqwest::RequestBuilder,
-    within: Duration,
+    message: Message<'_>,
 ) -> Result<Exchange, ExchangeError> {
+    let Message { method, path, media_type, body } = message;
+    let url = format!("http://{address}{path}");
+    let request = client.request(method, url).header(CONTENT_TYPE, media_type).body(body);
     let answer = async {
         let response = request.send().await?;
         let status = response.status().as_u16();
         let body = response.bytes().await?;
         Ok::<_, reqwest::Error>(Exchange { status, body })
     };
-    match tokio::time::timeout(within, answer).await {
-        Ok(Ok(exchange)) => Ok(exchange),
-        Ok(Err(error)) if error.is_connect() => Err(ExchangeError::NotSent { address }),
-        Ok(Err(_)) => Err(ExchangeError::Broken { address }),
-        Err(_) => Err(ExchangeError::Timeout { address }),
-    }
+    answer.await.map_err(|error| match error.is_connect() {
+        true => ExchangeError::NotSent { address },
+        false => ExchangeError::Broken { address },
+    })
 }
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -26,10 +26,10 @@
 impl Follower {
     /// Starts following on the current runtime.
     #[must_use]
-    pub fn spawn(agent: SocketAddr, journal: Journal) -> Self {
+    pub fn spawn(client: HttpClient, agent: SocketAddr, journal: Journal) -> Self {
         let view = Arc::new(ArcSwap::from_pointee(View::default()));
         let (tx, changes) = watch::channel(0);
-        tokio::spawn(follow(agent, journal, Arc::clone(&view), tx));
+        tokio::spawn(follow(client, agent, journal, Arc::clone(&view), tx));
         Self { view, changes }
     }
 
@@ -63,8 +63,13 @@
     }
 }
 
-async fn follow(agent: SocketAddr, journal: Journal, view: Arc<ArcSwap<View>>, tx: watch::Sender<u64>) {
-    let client = HttpClient::open(1);
+async fn follow(
+    client: HttpClient,
+    agent: SocketAddr,
+    journal: Journal,
+    view: Arc<ArcSwap<View>>,
+    tx: watch::Sender<u64>,
+) {
     loop {
         let current = view.load_full();
         let query = StateQuery {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -27,6 +27,7 @@
 //! reads it without waiting. The threads are described in docs/DESIGN.md.
 
 mod call;
+mod carrier;
 mod client;
 mod error;
 mod follower;
@@ -41,6 +42,7 @@
 mod view;
 
 pub use call::{BodyError, Call};
+pub use carrier::Carrier;
 pub use client::{Exchange, ExchangeError, HttpClient};
 pub use error::NodeError;
 pub use follower::Follower;
--- a/crates/proofs/src/fleet.rs
+++ b/crates/proofs/src/fleet.rs
@@ -372,7 +372,8 @@
 }
 
 /// Makes the body of a numbered lookup.
-pub(crate) fn body(number: u64) -> String {
+#[must_use]
+pub fn body(number: u64) -> String {
     let depth = 300 + number * 37 % 3000;
     format!(r#"{{"min_depth_m":{depth},"limit":1000,"number":{number}}}"#)
 }
--- /dev/null
+++ b/crates/proofs/src/inside/caller.rs
@@ -0,0 +1,55 @@
+//! A caller of a scenario.
+
+use std::time::Duration;
+
+use egret_node::{Exchange, ExchangeError, HttpClient};
+use egret_wire::{QUERY_PATH, QueryAnswer, QueryRequest, RefusalBody, TICKET_PATH, TicketBody};
+use serde::de::DeserializeOwned;
+
+use crate::{Role, network::Network};
+
+const CALLER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Sends queries to entries; clones share the connections.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    pub(crate) client: HttpClient,
+    pub(crate) network: Network,
+}
+
+/// What a caller got in place of an answer.
+#[derive(Debug, derive_more::From)]
+pub enum Outcome {
+    /// The entry refused.
+    Refused(Box<RefusalBody>),
+    /// There was no answer.
+    Lost(ExchangeError),
+}
+
+impl Caller {
+    /// Sends a query to one entry.
+    ///
+    /// # Errors
+    /// Returns the refusal, or why there was no answer.
+    pub async fn query(&self, host: usize, request: &QueryRequest) -> Result<QueryAnswer, Outcome> {
+        let entry = self.network.daemon(host, Role::Entry);
+        read(&self.client.post_json(entry, QUERY_PATH, request, CALLER_TIMEOUT).await?)
+    }
+
+    /// Fetches a ticket from one entry.
+    ///
+    /// # Errors
+    /// Returns the refusal, or why there was no answer.
+    pub async fn ticket(&self, host: usize) -> Result<TicketBody, Outcome> {
+        let entry = self.network.daemon(host, Role::Entry);
+        read(&self.client.post_json(entry, TICKET_PATH, &(), CALLER_TIMEOUT).await?)
+    }
+}
+
+fn read<T: DeserializeOwned>(exchange: &Exchange) -> Result<T, Outcome> {
+    if exchange.status == 200 {
+        return Ok(serde_json::from_slice(&exchange.body).expect("entries send what docs/API.md says"));
+    }
+    let refusal = serde_json::from_slice(&exchange.body).expect("refusals have a body");
+    Err(Outcome::Refused(Box::new(refusal)))
+}
--- /dev/null
+++ b/crates/proofs/src/inside/route.rs
@@ -0,0 +1,90 @@
+//! A process as the network of a scenario sees it.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+use egret_node::{Call, Exchange, Site};
+use futures_util::future::BoxFuture;
+use tokio::sync::watch;
+
+/// Answers a request, or breaks the connection.
+pub(crate) type Handler = Arc<dyn Fn(Call) -> BoxFuture<'static, Option<Exchange>> + Send + Sync>;
+
+/// Makes a handler of a daemon's site.
+pub(crate) fn handler(site: impl Site) -> Handler {
+    let site = Arc::new(site);
+    Arc::new(move |call| {
+        let site = Arc::clone(&site);
+        Box::pin(async move {
+            let reply = site.respond(call).await;
+            Some(Exchange { status: reply.status, body: reply.body })
+        })
+    })
+}
+
+/// Where a process runs, and what befell it.
+#[derive(Clone, Debug)]
+pub(crate) struct Place {
+    /// The entry host's number; `None` for callers, targets and the platform.
+    pub(crate) host: Option<usize>,
+    killed: watch::Sender<bool>,
+    paused: watch::Sender<bool>,
+    cut_from_platform: Arc<AtomicBool>,
+}
+
+impl Place {
+    pub(crate) fn new(host: Option<usize>) -> Self {
+        let (killed, paused) = (watch::Sender::new(false), watch::Sender::new(false));
+        Self { host, killed, paused, cut_from_platform: Arc::default() }
+    }
+
+    pub(crate) fn kill(&self) {
+        self.killed.send_replace(true);
+    }
+
+    pub(crate) fn is_killed(&self) -> bool {
+        *self.killed.borrow()
+    }
+
+    /// Waits until the process is killed.
+    pub(crate) async fn killed(&self) {
+        let _ = self.killed.subscribe().wait_for(|killed| *killed).await;
+    }
+
+    pub(crate) fn pause(&self, paused: bool) {
+        self.paused.send_replace(paused);
+    }
+
+    /// Waits while the process is paused.
+    pub(crate) async fn awake(&self) {
+        let _ = self.paused.subscribe().wait_for(|paused| !*paused).await;
+    }
+
+    pub(crate) fn cut_from_platform(&self, is_cut: bool) {
+        self.cut_from_platform.store(is_cut, Ordering::SeqCst);
+    }
+
+    pub(crate) fn is_cut_from_platform(&self) -> bool {
+        self.cut_from_platform.load(Ordering::SeqCst)
+    }
+}
+
+/// An address that a process listens on.
+#[derive(Clone)]
+pub(crate) struct Route {
+    pub(crate) address: SocketAddr,
+    pub(crate) place: Place,
+    pub(crate) is_platform: bool,
+    pub(crate) handler: Handler,
+}
+
+impl std::fmt::Debug for Route {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Route").field("address", &self.address).finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/proofs/src/inside/world.rs
@@ -0,0 +1,268 @@
+//! The daemons, targets and platform of a scenario.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use egret_agent::Agent;
+use egret_conf::{Config, Head};
+use egret_entry::Entry;
+use egret_events::{Clock, Journal};
+use egret_model::{DataCentre, HostName};
+use egret_node::{Exchange, Follower};
+use egret_relay::Relay;
+use egret_standin::{Execution, Platform, Target, publish_config, publish_hosts};
+use egret_wire::{QueryAnswer, QueryRequest};
+use tokio::runtime::Handle;
+
+use super::{
+    Caller, Net, Outcome,
+    route::{Place, Route, handler},
+};
+use crate::{
+    Declared, Role, Shape, SnapshotPlan,
+    network::{DATA_CENTRES, Network},
+};
+
+const GOSSIP: Duration = Duration::from_millis(1000);
+
+/// One running daemon with its place in the network.
+#[derive(Debug)]
+struct Daemon {
+    place: Place,
+    handle: DaemonHandle,
+}
+
+#[derive(Debug)]
+enum DaemonHandle {
+    Agent(Agent),
+    Relay(Relay),
+    Entry(Entry),
+}
+
+/// A small fleet inside the test's own process.
+#[derive(Debug)]
+pub struct World {
+    /// The platform.
+    pub platform: Platform,
+    /// The targets by service.
+    pub targets: Vec<Vec<Target>>,
+    net: Net,
+    network: Network,
+    shape: Shape,
+    caller: Place,
+    daemons: Vec<[Option<Daemon>; 3]>,
+    declared: Declared,
+    published: (Config, Head),
+}
+
+impl World {
+    /// Starts every process on the current runtime, whose clock the scenario moves.
+    ///
+    /// # Panics
+    /// Panics where the declarations are wrong, which is a bug of the test.
+    #[must_use]
+    pub fn start(shape: Shape) -> Self {
+        let (net, network) = (Net::default(), Network::fixed());
+        let platform = Platform::inside(network.platform());
+        let outside = Place::new(None);
+        net.listen(Route {
+            address: platform.address(),
+            place: outside.clone(),
+            is_platform: true,
+            handler: handler(platform.site()),
+        });
+        let target = |service: usize, replica: usize| {
+            let address = network.target(service * shape.replicas + replica);
+            let target = Target::inside(address, shape.behaviour.clone());
+            net.listen(target_route(&target, &outside));
+            target
+        };
+        let targets: Vec<Vec<Target>> = (0..shape.services)
+            .map(|service| (0..shape.replicas).map(|replica| target(service, replica)).collect())
+            .collect();
+        let first = SnapshotPlan { id: 1, turn: 0, shards: shape.shards };
+        let addresses = targets.iter().map(|all| all.iter().map(Target::address).collect()).collect();
+        let more_connections = vec![0; shape.services];
+        let declared =
+            Declared { shape: shape.clone(), targets: addresses, snapshots: vec![first], more_connections };
+        publish_hosts(&platform, &network.host_list(shape.hosts, false));
+        let config = declared.config(1);
+        let head = publish_config(&platform, &config, None);
+        let daemons = (0..shape.hosts).map(|_| [None, None, None]).collect();
+        let caller = Place::new(None);
+        let published = (config, head);
+        let mut world = Self { platform, targets, net, network, shape, caller, daemons, declared, published };
+        for host in 0..world.shape.hosts {
+            for role in [Role::Agent, Role::Relay, Role::Entry] {
+                world.start_daemon(host, role);
+            }
+        }
+        world
+    }
+
+    /// Starts one daemon, in place of one that was killed.
+    pub fn start_daemon(&mut self, host: usize, role: Role) {
+        let place = Place::new(Some(host));
+        let handle = match role {
+            Role::Agent => self.start_agent(host, &place),
+            Role::Relay => self.start_relay(host, &place),
+            Role::Entry => self.start_entry(host, &place),
+        };
+        if let Some(before) = self.daemons[host][index(role)].replace(Daemon { place, handle }) {
+            before.place.kill();
+        }
+    }
+
+    /// Kills one daemon: it reaches nobody and nobody reaches it any more.
+    pub fn kill(&mut self, host: usize, role: Role) {
+        self.place(host, role).kill();
+    }
+
+    /// Holds back every message from and to one daemon, or lets them go on.
+    pub fn pause(&self, host: usize, role: Role, paused: bool) {
+        self.place(host, role).pause(paused);
+    }
+
+    /// Lets a daemon say that it leaves, as at the start of its shutdown.
+    pub fn drain(&self, host: usize, role: Role) {
+        match &self.daemon(host, role).handle {
+            DaemonHandle::Agent(agent) => agent.ops().leave(),
+            DaemonHandle::Relay(relay) => relay.ops().leave(),
+            DaemonHandle::Entry(entry) => entry.ops().leave(),
+        }
+    }
+
+    /// Cuts hosts off from all others; no hosts ends the cut.
+    pub fn part(&self, side: Vec<usize>) {
+        self.net.part(side);
+    }
+
+    /// Cuts the agents of some hosts off from the platform, and no others.
+    pub fn cut_from_platform(&self, hosts: &[usize]) {
+        for host in 0..self.shape.hosts {
+            self.place(host, Role::Agent).cut_from_platform(hosts.contains(&host));
+        }
+    }
+
+    /// Changes the declarations and publishes them as the next version.
+    pub fn publish(&mut self, change: impl FnOnce(&mut Declared)) -> u64 {
+        change(&mut self.declared);
+        let version = self.published.0.version().0 + 1;
+        let config = self.declared.config(version);
+        let head = publish_config(&self.platform, &config, Some((&self.published.0, &self.published.1)));
+        self.published = (config, head);
+        version
+    }
+
+    /// Returns the version in force at each host's entry, 0 where it has none.
+    ///
+    /// # Panics
+    /// Panics where the place of an entry holds another daemon, which is a bug.
+    #[must_use]
+    pub fn versions(&self) -> Vec<u64> {
+        let version = |host: usize| match &self.daemon(host, Role::Entry).handle {
+            DaemonHandle::Entry(entry) => entry.version().0,
+            other => panic!("{other:?} is no entry"),
+        };
+        (0..self.shape.hosts).map(version).collect()
+    }
+
+    /// Returns everything that all targets executed.
+    #[must_use]
+    pub fn executions(&self) -> Vec<Execution> {
+        self.targets.iter().flatten().flat_map(Target::executions).collect()
+    }
+
+    /// Sends a query to one entry, as a caller.
+    ///
+    /// # Errors
+    /// Returns the refusal, or why there was no answer.
+    pub async fn query(&self, host: usize, request: &QueryRequest) -> Result<QueryAnswer, Outcome> {
+        self.caller().query(host, request).await
+    }
+
+    /// Returns a caller, which may ask while the scenario goes on.
+    #[must_use]
+    pub fn caller(&self) -> Caller {
+        Caller { client: self.net.client(&self.caller), network: self.network }
+    }
+
+    fn start_agent(&self, host: usize, place: &Place) -> DaemonHandle {
+        let peers = (0..self.shape.hosts).filter(|peer| *peer != host);
+        let address = self.network.daemon(host, Role::Agent);
+        let agent = Agent::spawn(egret_agent::Options {
+            host: host_name(host),
+            data_centre: DataCentre::new(DATA_CENTRES[host % DATA_CENTRES.len()]).expect("the name is valid"),
+            address,
+            client: self.net.client(place),
+            platform: self.network.platform(),
+            peers: peers.map(|peer| self.network.daemon(peer, Role::Agent)).collect(),
+            gossip: GOSSIP,
+        });
+        self.listen(address, place, handler(agent.site()));
+        DaemonHandle::Agent(agent)
+    }
+
+    fn start_relay(&self, host: usize, place: &Place) -> DaemonHandle {
+        let address = self.network.daemon(host, Role::Relay);
+        let (follower, journal) = self.follow(host, place, "relay");
+        let client = self.net.client(place);
+        let options = egret_relay::Options { client, ..egret_relay::Options::new(host_name(host), address) };
+        let relay = Relay::spawn(options, follower, journal, Handle::current());
+        self.listen(address, place, handler(relay.site()));
+        DaemonHandle::Relay(relay)
+    }
+
+    fn start_entry(&self, host: usize, place: &Place) -> DaemonHandle {
+        let internal = self.network.internal(host);
+        let (follower, journal) = self.follow(host, place, "entry");
+        let client = self.net.client(place);
+        let options = egret_entry::Options { client, ..egret_entry::Options::new(internal, internal) };
+        let entry = Entry::spawn(options, follower, journal, Handle::current());
+        self.listen(internal, place, handler(entry.internal_site()));
+        self.listen(self.network.daemon(host, Role::Entry), place, handler(entry.caller_site()));
+        DaemonHandle::Entry(entry)
+    }
+
+    fn follow(&self, host: usize, place: &Place, role: &str) -> (Follower, Journal) {
+        let journal = Journal::new(format!("{role}@host-{host}"), Clock::new());
+        let agent = self.network.daemon(host, Role::Agent);
+        (Follower::spawn(self.net.client(place), agent, journal.clone()), journal)
+    }
+
+    fn listen(&self, address: SocketAddr, place: &Place, handler: super::route::Handler) {
+        self.net.listen(Route { address, place: place.clone(), is_platform: false, handler });
+    }
+
+    fn daemon(&self, host: usize, role: Role) -> &Daemon {
+        self.daemons[host][index(role)].as_ref().expect("every daemon was started")
+    }
+
+    fn place(&self, host: usize, role: Role) -> &Place {
+        &self.daemon(host, role).place
+    }
+}
+
+fn target_route(target: &Target, outside: &Place) -> Route {
+    let answering = target.clone();
+    let handler: super::route::Handler = std::sync::Arc::new(move |call| {
+        let target = answering.clone();
+        Box::pin(async move {
+            let (status, body) = target.answer(&call.path, &call.body).await?;
+            Some(Exchange { status, body: Bytes::from(body) })
+        })
+    });
+    Route { address: target.address(), place: outside.clone(), is_platform: false, handler }
+}
+
+fn host_name(host: usize) -> HostName {
+    HostName::new(format!("host-{host}")).expect("the name is valid")
+}
+
+fn index(role: Role) -> usize {
+    match role {
+        Role::Agent => 0,
+        Role::Relay => 1,
+        Role::Entry => 2,
+    }
+}
--- a/crates/proofs/src/lib.rs
+++ b/crates/proofs/src/lib.rs
@@ -24,6 +24,7 @@
 mod fleet;
 mod forwarder;
 mod history;
+mod inside;
 mod links;
 mod network;
 mod shape;
@@ -31,9 +32,10 @@
 pub use check::{check_answer, check_at_most_once, executions_of};
 pub use daemon::{Daemon, Role, Usage, binary};
 pub use declare::{Declared, SnapshotPlan, example_declaration};
-pub use fleet::Fleet;
+pub use fleet::{Fleet, body};
 pub use forwarder::{Forwarder, Passing};
 pub use history::{
     VersionHistory, Violation, expected_hits, judge_answer, judge_at_most_once, judge_not_run,
 };
+pub use inside::{Caller, Outcome, World};
 pub use shape::Shape;
--- a/crates/proofs/src/network.rs
+++ b/crates/proofs/src/network.rs
@@ -36,6 +36,11 @@
         Self([127, second, NETWORKS.fetch_add(1, Ordering::SeqCst)])
     }
 
+    /// Returns the network of scenarios, which open no socket.
+    pub(crate) fn fixed() -> Self {
+        Self([127, 0, 0])
+    }
+
     pub(crate) fn platform(self) -> SocketAddr {
         self.at(1, PLATFORM_PORT)
     }
--- a/crates/proofs/tests/checkers.rs
+++ b/crates/proofs/tests/checkers.rs
@@ -2,7 +2,7 @@
 
 use egret_model::{MissCause, PlacementId, QueryId, Ran, ServiceName, ShardName, SnapshotId};
 use egret_proofs::{
-    VersionHistory, Violation, expected_hits, judge_answer, judge_at_most_once, judge_not_run,
+    VersionHistory, Violation, body, expected_hits, judge_answer, judge_at_most_once, judge_not_run,
 };
 use egret_standin::{Execution, search, well_records};
 use egret_wire::{MissingShard, QueryAnswer, ServiceShards, ShownHit};
@@ -21,8 +21,7 @@
 
 fn hits(of: &str, snapshot: SnapshotId) -> Vec<ShownHit> {
     let records = well_records(&service(), &shard(of), snapshot, RECORDS);
-    let body = format!(r#"{{"min_depth_m":{},"limit":1000,"number":{NUMBER}}}"#, 300 + NUMBER * 37 % 3000);
-    let found = search(&records, &body).into_iter();
+    let found = search(&records, &body(NUMBER)).into_iter();
     found.map(|hit| ShownHit { key: hit.key, score: hit.score, record: hit.record }).collect()
 }
 
--- /dev/null
+++ b/crates/proofs/tests/scenarios.rs
@@ -0,0 +1,349 @@
+//! Scripted scenarios of whole daemons on a paused clock.
+//!
+//! tests/scenarios holds the scripts; [`Script::run`] lists the commands. Every
+//! answer is judged as it arrives, and each script runs twice: the second run must
+//! print what the first one printed.
+
+use std::time::Duration;
+
+use datadriven::{TestCase, walk};
+use egret_client::Query;
+use egret_model::Ran;
+use egret_proofs::{Outcome, Role, Shape, SnapshotPlan, World, judge_answer, judge_at_most_once};
+use egret_standin::{Behaviour, PlatformMode};
+use egret_wire::{HeldSnapshot, QueryAnswer, QueryRequest};
+use tokio::{
+    runtime::{Builder, Runtime},
+    task::JoinHandle,
+    time::sleep,
+};
+
+const SEED: u64 = 1;
+/// Longer than agents, relays and entries take to become ready.
+const READY_AFTER: Duration = Duration::from_secs(3);
+
+type Asked = JoinHandle<Result<QueryAnswer, Outcome>>;
+
+struct Script {
+    runtime: Runtime,
+    world: Option<World>,
+    shape: Shape,
+    tickets: Vec<(String, String)>,
+    asked: Vec<(String, u64, Asked)>,
+    runs_shown: Vec<usize>,
+}
+
+impl Script {
+    fn new() -> Self {
+        fastrand::seed(SEED);
+        let runtime = Builder::new_current_thread().enable_all().start_paused(true).build().unwrap();
+        let shape = Shape::default();
+        Self { runtime, world: None, shape, tickets: Vec::new(), asked: Vec::new(), runs_shown: Vec::new() }
+    }
+
+    fn run(&mut self, case: &mut TestCase) -> String {
+        let output = match case.directive.as_str() {
+            "start" => self.start(case),
+            "start-daemon" | "kill" | "pause" | "resume" | "drain" => self.daemon(case),
+            "part" => self.part(case),
+            "cut-from-platform" => self.cut_from_platform(case),
+            "platform" => self.platform(case),
+            "publish" => self.publish(case),
+            "target" => self.target(case),
+            "hold" => self.hold(case),
+            "crash" => self.crash(case),
+            "query" => self.query(case),
+            "ask" => self.ask(case),
+            "expect" => self.expect(case),
+            "ticket" => self.ticket(case),
+            "bid" => self.bid(case),
+            "advance" => self.advance(case),
+            "runs" => self.runs(),
+            "versions" => format!("{:?}\n", self.world().versions()),
+            "judge" => self.judge(),
+            other => panic!("unknown command {other}"),
+        };
+        case.expect_empty().unwrap();
+        output
+    }
+
+    /// `start hosts=2 services=1 replicas=2 shards=2 budget=1000 below=partial`
+    fn start(&mut self, case: &mut TestCase) -> String {
+        let number =
+            |case: &mut TestCase, name: &str, usual: usize| case.try_take_arg(name).unwrap().unwrap_or(usual);
+        let refuses = case.try_take_arg::<String>("below").unwrap().is_some_and(|below| below == "refuse");
+        let replicas = number(case, "replicas", 2);
+        let usual = Shape::default();
+        let behaviour = Behaviour { service_us: 10_000, ..usual.behaviour.clone() };
+        self.shape = Shape {
+            hosts: number(case, "hosts", 2),
+            services: number(case, "services", 1),
+            replicas,
+            shards: number(case, "shards", 2),
+            copies: number(case, "copies", replicas),
+            budget_ms: number(case, "budget", 1000) as u32,
+            below_minimum: if refuses { "refuse" } else { "partial" },
+            min_coverage: if refuses { 1.0 } else { 0.5 },
+            behaviour,
+            ..usual
+        };
+        let shape = self.shape.clone();
+        self.runs_shown = vec![0; shape.services * shape.replicas];
+        let world = self.runtime.block_on(async {
+            let world = World::start(shape);
+            sleep(READY_AFTER).await;
+            world
+        });
+        self.world = Some(world);
+        "ok\n".to_owned()
+    }
+
+    /// `kill role=relay host=0`, and so on.
+    fn daemon(&mut self, case: &mut TestCase) -> String {
+        let role = match text(case, "role").as_str() {
+            "agent" => Role::Agent,
+            "relay" => Role::Relay,
+            "entry" => Role::Entry,
+            other => panic!("unknown role {other}"),
+        };
+        let host: usize = case.take_arg("host").unwrap();
+        let _runtime = self.runtime.enter();
+        let world = self.world.as_mut().expect("the script begins with start");
+        match case.directive.as_str() {
+            "start-daemon" => world.start_daemon(host, role),
+            "kill" => world.kill(host, role),
+            "pause" => world.pause(host, role, true),
+            "resume" => world.pause(host, role, false),
+            _ => world.drain(host, role),
+        }
+        "ok\n".to_owned()
+    }
+
+    /// `part hosts=(0, 1)`; without hosts every cut between hosts ends.
+    fn part(&mut self, case: &mut TestCase) -> String {
+        self.world().part(hosts(case));
+        "ok\n".to_owned()
+    }
+
+    /// `cut-from-platform hosts=(1)`; without hosts all agents reach it again.
+    fn cut_from_platform(&mut self, case: &mut TestCase) -> String {
+        self.world().cut_from_platform(&hosts(case));
+        "ok\n".to_owned()
+    }
+
+    /// `platform mode=up`, `down` or `stale`
+    fn platform(&mut self, case: &mut TestCase) -> String {
+        let mode = match text(case, "mode").as_str() {
+            "up" => PlatformMode::Up,
+            "down" => PlatformMode::Down,
+            "stale" => PlatformMode::Stale,
+            other => panic!("unknown mode {other}"),
+        };
+        self.world().platform.set_mode(mode);
+        "ok\n".to_owned()
+    }
+
+    /// `publish slots=3` or `publish snapshot=2 shards=3`
+    fn publish(&mut self, case: &mut TestCase) -> String {
+        let slots: Option<u16> = case.try_take_arg("slots").unwrap();
+        let snapshot: Option<u64> = case.try_take_arg("snapshot").unwrap();
+        let shards = case.try_take_arg("shards").unwrap().unwrap_or(self.shape.shards);
+        let world = self.world.as_mut().expect("the script begins with start");
+        let version = world.publish(|declared| {
+            declared.shape.slots = slots.unwrap_or(declared.shape.slots);
+            declared.snapshots.extend(snapshot.map(|id| SnapshotPlan { id, turn: id as usize, shards }));
+        });
+        format!("version {version}\n")
+    }
+
+    /// `target service=0 replica=1 becomes=draining`
+    fn target(&mut self, case: &mut TestCase) -> String {
+        let (service, replica) = which_target(case);
+        let usual = self.shape.behaviour.clone();
+        let target = &self.world().targets[service][replica];
+        let behaviour = match text(case, "becomes").as_str() {
+            "usual" => usual,
+            "draining" => Behaviour { draining: true, ..usual },
+            "draining-in-health" => Behaviour { health_drains: true, ..usual },
+            "draining-while-health-misleads" => Behaviour { draining: true, health_misleads: true, ..usual },
+            "slow" => Behaviour { service_us: usual.service_us * 40, ..usual },
+            "truncating" => Behaviour { truncates: true, ..usual },
+            "confusing" => Behaviour { confuses: true, ..usual },
+            "shedding" => Behaviour { sheds: true, ..usual },
+            "crashing" => Behaviour { crash_on: Some("crash-me".to_owned()), ..usual },
+            other => panic!("unknown behaviour {other}"),
+        };
+        let snapshots = target.behaviour().snapshots;
+        target.set(Behaviour { snapshots, ..behaviour });
+        "ok\n".to_owned()
+    }
+
+    /// `hold service=0 replica=1 snapshots=(1, 2)`
+    fn hold(&mut self, case: &mut TestCase) -> String {
+        let (service, replica) = which_target(case);
+        let held = |id: u64| HeldSnapshot {
+            snapshot: egret_model::SnapshotId(id),
+            placement: egret_model::PlacementId(id),
+        };
+        let snapshots = case.take_args::<u64>("snapshots").unwrap().into_iter().map(held).collect();
+        let target = &self.world().targets[service][replica];
+        target.set(Behaviour { snapshots, ..target.behaviour() });
+        "ok\n".to_owned()
+    }
+
+    /// `crash service=0 replica=1`
+    fn crash(&mut self, case: &mut TestCase) -> String {
+        let (service, replica) = which_target(case);
+        self.world().targets[service][replica].crash();
+        "ok\n".to_owned()
+    }
+
+    /// `query host=0 number=1 budget=500`, or `query host=0 crash-me`
+    fn query(&mut self, case: &mut TestCase) -> String {
+        let (host, number, request) = lookup(case);
+        let world = self.world.as_ref().expect("the script begins with start");
+        let result = self.runtime.block_on(world.query(host, &request));
+        self.show(number, &result)
+    }
+
+    /// `ask id=a host=0 number=1`: the query runs while further commands do.
+    fn ask(&mut self, case: &mut TestCase) -> String {
+        let id = text(case, "id");
+        let (host, number, request) = lookup(case);
+        let caller = self.world().caller();
+        let asked = self.runtime.spawn(async move { caller.query(host, &request).await });
+        self.asked.push((id, number, asked));
+        "ok\n".to_owned()
+    }
+
+    /// `expect id=a`: waits for the end of a query and shows it.
+    fn expect(&mut self, case: &mut TestCase) -> String {
+        let id = text(case, "id");
+        let at = self.asked.iter().position(|(asked, ..)| *asked == id).expect("the query was asked");
+        let (_, number, asked) = self.asked.remove(at);
+        let result = self.runtime.block_on(asked).unwrap();
+        self.show(number, &result)
+    }
+
+    /// `ticket host=0 name=t`
+    fn ticket(&mut self, case: &mut TestCase) -> String {
+        let (host, name): (usize, String) = (case.take_arg("host").unwrap(), text(case, "name"));
+        let world = self.world.as_ref().expect("the script begins with start");
+        match self.runtime.block_on(world.caller().ticket(host)) {
+            Ok(ticket) => {
+                self.tickets.push((name, ticket.ticket));
+                "ok\n".to_owned()
+            }
+            Err(outcome) => show_outcome(&outcome),
+        }
+    }
+
+    /// `bid host=0 ticket=t mark=m`: a request that must run at most once.
+    fn bid(&mut self, case: &mut TestCase) -> String {
+        let (host, name): (usize, String) = (case.take_arg("host").unwrap(), text(case, "ticket"));
+        let body = format!(r#"{{"mark":"{}"}}"#, text(case, "mark"));
+        let (_, ticket) = self.tickets.iter().find(|(known, _)| *known == name).expect("the ticket is known");
+        let query = Query::group("desk", "file", &body).unwrap().non_idempotent().ticket(ticket);
+        let world = self.world.as_ref().expect("the script begins with start");
+        match self.runtime.block_on(world.query(host, query.request())) {
+            Ok(answer) => show_answer(&answer),
+            Err(outcome) => show_outcome(&outcome),
+        }
+    }
+
+    /// `advance ms=500`
+    fn advance(&mut self, case: &mut TestCase) -> String {
+        let ms = case.take_arg("ms").unwrap();
+        self.runtime.block_on(async { sleep(Duration::from_millis(ms)).await });
+        "ok\n".to_owned()
+    }
+
+    /// Shows what each target executed since the last `runs`, and how often it crashed so far.
+    fn runs(&mut self) -> String {
+        let world = self.world.as_ref().expect("the script begins with start");
+        let mut output = String::new();
+        for (at, target) in world.targets.iter().flatten().enumerate() {
+            let runs = target.executions().len();
+            let (service, replica) = (at / self.shape.replicas, at % self.shape.replicas);
+            let new = runs - std::mem::replace(&mut self.runs_shown[at], runs);
+            output += &format!("{service}/{replica}: {new} runs, {} crashes\n", target.crashes());
+        }
+        output
+    }
+
+    fn judge(&mut self) -> String {
+        match judge_at_most_once(&self.world().executions()) {
+            Ok(count) => format!("{count} ran once\n"),
+            Err(violation) => format!("broken: {violation}\n"),
+        }
+    }
+
+    fn show(&self, number: u64, result: &Result<QueryAnswer, Outcome>) -> String {
+        match result {
+            Ok(answer) => match judge_answer(self.shape.behaviour.records, number, answer) {
+                Ok(()) => show_answer(answer),
+                Err(violation) => format!("broken: {violation}\n"),
+            },
+            Err(outcome) => show_outcome(outcome),
+        }
+    }
+
+    fn world(&self) -> &World {
+        self.world.as_ref().expect("the script begins with start")
+    }
+}
+
+fn text(case: &mut TestCase, name: &str) -> String {
+    case.take_arg(name).unwrap()
+}
+
+fn hosts(case: &mut TestCase) -> Vec<usize> {
+    case.try_take_args("hosts").unwrap().unwrap_or_default()
+}
+
+fn which_target(case: &mut TestCase) -> (usize, usize) {
+    (case.take_arg("service").unwrap(), case.take_arg("replica").unwrap())
+}
+
+/// Reads a lookup: the entry's host, the lookup's number, the request.
+fn lookup(case: &mut TestCase) -> (usize, u64, QueryRequest) {
+    let host = case.take_arg("host").unwrap();
+    let number = case.try_take_arg("number").unwrap().unwrap_or(1);
+    let crashes = case.take_flag("crash-me").unwrap();
+    let body = if crashes { r#"{"crash-me":1}"#.to_owned() } else { egret_proofs::body(number) };
+    let mut query = Query::group("desk", "lookup", &body).unwrap();
+    if let Some(ms) = case.try_take_arg("budget").unwrap() {
+        query = query.budget(Duration::from_millis(ms));
+    }
+    (host, number, query.request().clone())
+}
+
+fn show_answer(answer: &QueryAnswer) -> String {
+    let covered: usize = answer.covered.iter().map(|part| part.shards.len()).sum();
+    let missing: String = answer
+        .missing
+        .iter()
+        .map(|missing| format!(", {}/{} {}", missing.service, missing.shard, missing.cause))
+        .collect();
+    format!("snapshot {}: {covered} covered, {} missing{missing}\n", answer.snapshot, answer.missing.len())
+}
+
+fn show_outcome(outcome: &Outcome) -> String {
+    match outcome {
+        Outcome::Refused(body) => {
+            let after = body.retry_after_ms.map(|ms| format!(", come back after {ms} ms"));
+            format!("refused: {}, ran {}{}\n", body.kind, body.ran, after.unwrap_or_default())
+        }
+        Outcome::Lost(_) => format!("no answer, ran {}\n", Ran::Unknown),
+    }
+}
+
+#[test]
+fn scripts_print_what_they_expect_twice() {
+    for _ in 0..2 {
+        walk("tests/scenarios", |file| {
+            let mut script = Script::new();
+            file.run(|case| script.run(case));
+        });
+    }
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -96,7 +96,7 @@
         }
         Err(_) => {
             cx.ledger.ended(Ran::Unknown);
-            let silent = started.elapsed() >= FAILURE_MIN;
+            let silent = now().saturating_duration_since(started) >= FAILURE_MIN;
             slot.finish(if silent { Finish::Failed } else { Finish::Cancelled });
         }
     }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -27,7 +27,6 @@
 };
 
 const TICK: Duration = Duration::from_millis(50);
-const IDLE_CONNECTIONS: usize = 64;
 
 /// A running relay; clones share it.
 #[derive(Clone, Debug)]
@@ -43,7 +42,6 @@
     ops: Ops,
     instruments: Instruments,
     traffic: Handle,
-    client: HttpClient,
     services: ArcSwap<Vec<Arc<ServiceState>>>,
     suspects: Mutex<Suspects>,
     attempts: AtomicU64,
@@ -56,7 +54,6 @@
         let ops = Ops::new(journal);
         let instruments = Instruments::open(&ops.metrics);
         let inner = Inner {
-            client: HttpClient::open_at(IDLE_CONNECTIONS, options.address),
             options,
             incarnation: new_incarnation(),
             follower,
@@ -114,7 +111,7 @@
     }
 
     pub(crate) fn client(&self) -> &HttpClient {
-        &self.inner.client
+        &self.inner.options.client
     }
 
     pub(crate) fn traffic(&self) -> &Handle {
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -48,7 +48,7 @@
 pub struct Platform {
     inner: Arc<Inner>,
     address: SocketAddr,
-    _server: Arc<HttpServer>,
+    _server: Option<Arc<HttpServer>>,
 }
 
 impl Platform {
@@ -61,7 +61,19 @@
         let limits = HttpLimits { body_bytes: VALUE_MAX_BYTES, ..HttpLimits::default() };
         let site = PlatformSite { inner: Arc::clone(&inner) };
         let server = HttpServer::bind(traffic, address, limits, site).await?;
-        Ok(Self { inner, address: server.address(), _server: Arc::new(server) })
+        Ok(Self { inner, address: server.address(), _server: Some(Arc::new(server)) })
+    }
+
+    /// Starts an empty platform without a network, for scenarios; [`Platform::site`] is its way in.
+    #[must_use]
+    pub fn inside(address: SocketAddr) -> Self {
+        Self { inner: Arc::default(), address, _server: None }
+    }
+
+    /// Returns the site that answers readers.
+    #[must_use]
+    pub fn site(&self) -> impl Site {
+        PlatformSite { inner: Arc::clone(&self.inner) }
     }
 
     /// Returns the address.
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -67,7 +67,20 @@
     /// Fails where the address cannot be listened on.
     pub async fn bind(traffic: &Handle, address: SocketAddr, behaviour: Behaviour) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
-        let address = listener.local_addr()?;
+        let target = Self::create(listener.local_addr()?, behaviour);
+        traffic.spawn(target.clone().serve(listener));
+        Ok(target)
+    }
+
+    /// Starts a target without a network, for scenarios; [`Target::answer`] is its only way in.
+    #[must_use]
+    pub fn inside(address: SocketAddr, behaviour: Behaviour) -> Self {
+        let target = Self::create(address, behaviour);
+        tokio::spawn(target.clone().return_after_crashes());
+        target
+    }
+
+    fn create(address: SocketAddr, behaviour: Behaviour) -> Self {
         let inner = Arc::new(Inner {
             behaviour: Mutex::new(behaviour),
             incarnation: AtomicU64::new(fastrand::u64(1..)),
@@ -81,9 +94,30 @@
             away: AtomicBool::new(false),
             started: Instant::now(),
         });
-        let target = Self { inner, address };
-        traffic.spawn(target.clone().serve(listener));
-        Ok(target)
+        Self { inner, address }
+    }
+
+    /// Answers a request without a network: a status with a body, or nothing where the
+    /// target is away, crashes meanwhile, or breaks its reply off.
+    pub async fn answer(&self, path: &str, body: &[u8]) -> Option<(u16, Vec<u8>)> {
+        if self.inner.away.load(Ordering::SeqCst) {
+            return None;
+        }
+        let mut crashes = self.inner.crashes.subscribe();
+        let request = HttpRequest { path: path.to_owned(), body: body.to_vec() };
+        tokio::select! {
+            biased;
+            _ = crashes.changed() => None,
+            response = self.respond(request) => {
+                (!response.truncated).then_some((response.status, response.body))
+            }
+        }
+    }
+
+    /// Tells whether the target is away after a crash.
+    #[must_use]
+    pub fn is_away(&self) -> bool {
+        self.inner.away.load(Ordering::SeqCst)
     }
 
     /// Returns the address.
@@ -150,8 +184,7 @@
                 }
                 _ = crashes.changed() => {
                     drop(listener);
-                    sleep(Duration::from_millis(self.behaviour().crash_ms)).await;
-                    self.inner.incarnation.store(fastrand::u64(1..), Ordering::SeqCst);
+                    self.stay_away().await;
                     listener = match rebind(self.address).await {
                         Some(listener) => listener,
                         None => return,
@@ -162,6 +195,20 @@
         }
     }
 
+    /// Sleeps as long as a crash lasts, and draws the identifier of the next run.
+    async fn stay_away(&self) {
+        sleep(Duration::from_millis(self.behaviour().crash_ms)).await;
+        self.inner.incarnation.store(fastrand::u64(1..), Ordering::SeqCst);
+    }
+
+    async fn return_after_crashes(self) {
+        let mut crashes = self.inner.crashes.subscribe();
+        while crashes.changed().await.is_ok() {
+            self.stay_away().await;
+            self.inner.away.store(false, Ordering::SeqCst);
+        }
+    }
+
     async fn connection(self, mut stream: TcpStream) {
         let mut crashes = self.inner.crashes.subscribe();
         let _ = stream.set_nodelay(true);
