Exchange notices between candidates, at the start and after a pause too

Cause: a scenario with both candidates of a block restarted in turn showed that marks and signs were told only when they arose. Ruled out: asking the targets (their health misleads) and passing it through entries (docs/DESIGN.md, "Between relays").

Relays now exchange notices with the other candidates: at once, each second while anything lasts, and before they take work after a start or a pause of their own. Signs carry their age, marks the time that they still last. New process tests: a_sign_reaches_a_first_relay_that_slept and ..._second_...

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -8,8 +8,8 @@
 
 use egret_events::{Code, Journal};
 use egret_model::{
-    Fingerprint, Incarnation, MissCause, QueryId, Ran, Refusal, RefusalKind, ServiceName, SnapshotShards,
-    Version,
+    Fingerprint, Incarnation, Mark, MissCause, QueryId, Ran, Refusal, RefusalKind, ServiceName,
+    SnapshotShards, Version,
 };
 use egret_node::{ExchangeError, Follower, HttpClient, Ops, View, new_incarnation, new_query_id};
 use egret_policy::{PauseDetector, RelayHealth, Suspects};
@@ -107,7 +107,7 @@
         self.journal().record(Code::QueryAccepted, query, request.class.to_string());
         let outcome = match self.run_plans(query, request, started).await {
             Ok((plan, gathered)) => {
-                self.learn(plan.fingerprint, gathered.breaks);
+                self.learn(gathered.mark);
                 self.count(&gathered);
                 decide(&plan, gathered)
             }
@@ -279,13 +279,13 @@
         self.observed().learn(now(), service, held);
     }
 
-    pub(crate) fn breaks(&self, fingerprint: Fingerprint) -> u8 {
-        self.suspects().breaks(now(), fingerprint)
+    pub(crate) fn mark(&self, fingerprint: Fingerprint) -> Option<Mark> {
+        self.suspects().told(now(), fingerprint)
     }
 
-    fn learn(&self, fingerprint: Fingerprint, breaks: u8) {
-        if breaks > 0 {
-            self.suspects().learn(now(), fingerprint, breaks);
+    fn learn(&self, mark: Option<Mark>) {
+        if let Some(mark) = mark {
+            self.suspects().learn(now(), mark);
         }
     }
 
--- a/crates/entry/src/gather.rs
+++ b/crates/entry/src/gather.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use egret_events::Code;
-use egret_model::{Coverage, Hit, MissCause, Ran, ServiceName, ShardId, ShardName};
+use egret_model::{Coverage, Hit, Mark, MissCause, Ran, ServiceName, ShardId, ShardName};
 use egret_node::{ExchangeError, View};
 use egret_wire::{PartReply, SCATTER_PATH, Scatter, ScatterReply};
 use futures_util::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
@@ -23,7 +23,7 @@
     pub(crate) coverage: Coverage,
     pub(crate) hits: Vec<Hit>,
     pub(crate) ran: Ran,
-    pub(crate) breaks: u8,
+    pub(crate) mark: Option<Mark>,
     pub(crate) retry_after_ms: Option<u64>,
     pub(crate) attempts: u32,
     pub(crate) needed: u32,
@@ -163,7 +163,7 @@
             origin: self.entry.incarnation(),
             stamp: self.entry.journal().record(Code::ScatterSent, plan.query, detail),
             fingerprint: plan.fingerprint,
-            breaks: self.entry.breaks(plan.fingerprint),
+            mark: self.entry.mark(plan.fingerprint),
             class: plan.class.clone(),
             budget_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
             idempotent: plan.idempotent,
@@ -217,7 +217,7 @@
     fn take_reply(&mut self, reply: ScatterReply, parts: Vec<PlannedPart>, candidate: usize) {
         self.entry.journal().clock().observe(reply.stamp);
         self.gathered.ran = self.gathered.ran.and(reply.ran);
-        self.gathered.breaks = self.gathered.breaks.max(reply.breaks);
+        self.gathered.mark = self.gathered.mark.into_iter().chain(reply.mark).max_by_key(|mark| mark.breaks);
         self.gathered.retry_after_ms = self.gathered.retry_after_ms.max(reply.retry_after_ms);
         self.gathered.attempts += reply.attempts;
         self.gathered.needed += reply.needed;
--- a/crates/entry/src/outcome.rs
+++ b/crates/entry/src/outcome.rs
@@ -1,8 +1,9 @@
 //! Turning what was gathered into an answer or a refusal.
 
 use egret_conf::BelowMinimum;
-use egret_model::{Coverage, MissCause, Refusal, RefusalKind};
+use egret_model::{Coverage, Mark, MissCause, Refusal, RefusalKind};
 use egret_node::Reply;
+use egret_policy::POISON_BREAKS;
 use egret_wire::{MissingShard, QueryAnswer, RefusalBody, ServiceShards, ShownHit};
 
 use crate::{gather::Gathered, plan::Plan};
@@ -56,13 +57,19 @@
         plan.min_coverage
     );
     let retry_after_ms = match kind {
-        RefusalKind::Poison => Some(egret_policy::MARK_LASTS.as_millis() as u64),
+        RefusalKind::Poison => gathered.mark.map(held_for_ms),
         _ => Some(gathered.retry_after_ms.unwrap_or(RETRY_AFTER_MS)),
     };
     let refusal = Refusal { kind, ran: gathered.ran, message, retry_after_ms };
     RefusalBody { query: Some(plan.query), causes, ..RefusalBody::from(refusal) }
 }
 
+/// Returns for how long a mark keeps its request from running, in milliseconds.
+fn held_for_ms(mark: Mark) -> u64 {
+    let ms = if mark.breaks >= POISON_BREAKS { mark.lasts_ms } else { mark.suspect_ms };
+    u64::from(ms)
+}
+
 fn causes(coverage: &Coverage) -> Vec<MissCause> {
     let mut causes: Vec<MissCause> = coverage.missing().iter().map(|missing| missing.cause).collect();
     causes.sort();
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -128,7 +128,7 @@
         self.find(address).is_ok_and(|at| self.replicas[at].take_reply(now, asked_at, draining))
     }
 
-    /// Lists the targets that said to this relay that they leave.
+    /// Lists the targets that are known to leave, by their own or another relay's word.
     #[must_use]
     pub fn leaving_signs(&self, now: Instant) -> Vec<LeavingSign> {
         self.replicas.iter().filter_map(|replica| replica.leaving_sign(now)).collect()
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -56,20 +56,6 @@
     pub held: Vec<Held>,
 }
 
-/// A sign that a target leaves.
-#[derive(Clone, Copy, Debug)]
-struct Draining {
-    at: Instant,
-    /// Whether the target itself said so to this relay.
-    first_hand: bool,
-}
-
-impl Draining {
-    fn lasts(self, now: Instant) -> bool {
-        now.saturating_duration_since(self.at) < DRAINING_LASTS
-    }
-}
-
 #[derive(Clone, Debug)]
 pub(crate) struct Replica {
     pub(crate) address: SocketAddr,
@@ -82,7 +68,7 @@
     pub(crate) latency: LatencyWindow,
     pub(crate) starts: u64,
     confirmed_at: Option<Instant>,
-    draining: Option<Draining>,
+    draining_at: Option<Instant>,
     lacks: Vec<Held>,
     measured_at: Option<Instant>,
     failures: u32,
@@ -104,7 +90,7 @@
             latency: LatencyWindow::default(),
             starts: 0,
             confirmed_at: None,
-            draining: None,
+            draining_at: None,
             lacks: Vec::new(),
             measured_at: None,
             failures: 0,
@@ -124,10 +110,10 @@
             self.latency = LatencyWindow::default();
             self.failures = 0;
             self.ejected_until = None;
-            self.draining = None;
+            self.draining_at = None;
         }
         if report.phase == Phase::Draining {
-            self.draining = Some(Draining { at: now, first_hand: true });
+            self.draining_at = Some(now);
         }
         self.lacks.clear();
         self.report = report;
@@ -139,17 +125,19 @@
     pub(crate) fn take_reply(&mut self, now: Instant, asked_at: Instant, draining: bool) -> bool {
         let is_first = draining && !self.is_draining(now);
         if draining {
-            self.draining = Some(Draining { at: now, first_hand: true });
+            self.draining_at = Some(now);
         } else if self.report.phase == Phase::Ready {
             self.confirmed_at = self.confirmed_at.max(Some(asked_at));
         }
         is_first
     }
 
-    /// Returns the target's own word that it leaves, for telling other relays.
+    /// Returns the sign that the target leaves, for telling other relays.
     pub(crate) fn leaving_sign(&self, now: Instant) -> Option<LeavingSign> {
-        let draining = self.draining.filter(|draining| draining.first_hand && draining.lasts(now))?;
-        let age = now.saturating_duration_since(draining.at);
+        let age = now.saturating_duration_since(self.draining_at?);
+        if age >= DRAINING_LASTS {
+            return None;
+        }
         Some(LeavingSign { address: self.address, incarnation: self.report.incarnation, age })
     }
 
@@ -160,9 +148,8 @@
         let other_run = matches!((sign.incarnation, self.report.incarnation), (Some(a), Some(b)) if a != b);
         let Some(at) = now.checked_sub(sign.age).filter(|_| !other_run) else { return false };
         let is_first = !self.is_draining(now);
-        if self.draining.is_none_or(|known| known.at < at) {
-            let first_hand = !is_first && self.draining.is_some_and(|known| known.first_hand);
-            self.draining = Some(Draining { at, first_hand });
+        if is_first {
+            self.draining_at = Some(at);
         }
         is_first && self.is_draining(now)
     }
@@ -186,7 +173,7 @@
     }
 
     pub(crate) fn is_draining(&self, now: Instant) -> bool {
-        self.draining.is_some_and(|draining| draining.lasts(now))
+        self.draining_at.is_some_and(|at| now.saturating_duration_since(at) < DRAINING_LASTS)
     }
 
     pub(crate) fn holds(&self, held: Held) -> bool {
--- a/crates/policy/src/suspects.rs
+++ b/crates/policy/src/suspects.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use egret_model::Fingerprint;
+use egret_model::{Fingerprint, Mark};
 
 /// Broken connections after which a request is refused.
 pub const POISON_BREAKS: u8 = 2;
@@ -26,6 +26,16 @@
     suspect_until: Instant,
 }
 
+impl Marked {
+    fn told(&self, now: Instant) -> Option<Mark> {
+        let left_ms = |until: Instant| until.saturating_duration_since(now).as_millis() as u32;
+        let lasts_ms = left_ms(self.until);
+        let suspect_ms = left_ms(self.suspect_until);
+        let Self { fingerprint, breaks, .. } = *self;
+        (lasts_ms > 0).then_some(Mark { fingerprint, breaks, lasts_ms, suspect_ms })
+    }
+}
+
 /// Remembers which requests broke connections while a target ran them.
 ///
 /// The table is bounded; when full, the mark that would end first makes room.
@@ -51,14 +61,28 @@
     /// still remembered as a break, but makes it a suspect only for a short time.
     pub fn mark(&mut self, now: Instant, fingerprint: Fingerprint, alone: bool) -> u8 {
         let breaks = self.breaks(now, fingerprint).saturating_add(1);
-        self.learn(now, fingerprint, breaks);
-        if let Ok(at) = self.find(fingerprint) {
-            let shared = !alone && breaks == 1;
-            self.marks[at].suspect_until = now + if shared { SHARED_MARK_LASTS } else { MARK_LASTS };
-        }
+        let is_shared = !alone && breaks == 1;
+        let suspect_until = now + if is_shared { SHARED_MARK_LASTS } else { MARK_LASTS };
+        self.insert(now, Marked { fingerprint, breaks, until: now + MARK_LASTS, suspect_until });
         breaks
     }
 
+    /// Returns the mark of a request, to tell other processes.
+    #[must_use]
+    pub fn told(&self, now: Instant, fingerprint: Fingerprint) -> Option<Mark> {
+        let at = self.find(fingerprint).ok()?;
+        self.marks[at].told(now)
+    }
+
+    /// Returns the marks that last longest, at most `max`, to tell other processes.
+    #[must_use]
+    pub fn all_told(&self, now: Instant, max: usize) -> Vec<Mark> {
+        let mut told: Vec<Mark> = self.marks.iter().filter_map(|marked| marked.told(now)).collect();
+        told.sort_by_key(|mark| std::cmp::Reverse(mark.lasts_ms));
+        told.truncate(max);
+        told
+    }
+
     /// Remembers a request that a target answered; the oldest one makes room.
     pub fn prove(&mut self, fingerprint: Fingerprint) {
         if self.is_proven(fingerprint) {
@@ -84,13 +108,19 @@
         self.find(fingerprint).is_ok_and(|at| now < self.marks[at].suspect_until)
     }
 
-    /// Takes in what another process knows.
-    pub fn learn(&mut self, now: Instant, fingerprint: Fingerprint, breaks: u8) {
+    /// Takes in what another process knows, where it is more; it ends when it ends there.
+    pub fn learn(&mut self, now: Instant, mark: Mark) {
+        let Mark { fingerprint, breaks, lasts_ms, suspect_ms } = mark;
         if breaks <= self.breaks(now, fingerprint) {
             return;
         }
-        let until = now + MARK_LASTS;
-        let marked = Marked { fingerprint, breaks, until, suspect_until: until };
+        let after = |ms: u32| now + Duration::from_millis(u64::from(ms)).min(MARK_LASTS);
+        let marked = Marked { fingerprint, breaks, until: after(lasts_ms), suspect_until: after(suspect_ms) };
+        self.insert(now, marked);
+    }
+
+    fn insert(&mut self, now: Instant, marked: Marked) {
+        let fingerprint = marked.fingerprint;
         match self.find(fingerprint) {
             Ok(at) => self.marks[at] = marked,
             Err(_) => {
--- a/crates/proofs/tests/leaving.rs
+++ b/crates/proofs/tests/leaving.rs
@@ -145,3 +145,35 @@
 async fn a_sign_of_leaving_outlives_the_second_relay() {
     a_sign_outlives_the_relay_of(1).await;
 }
+
+/// The relay that heard the sign is lost when another one wakes up that slept meanwhile.
+async fn a_sign_reaches_the_relay_that_slept_at(host: usize) {
+    let fleet = Fleet::start(Shape { services: 1, hosts: 2, ..Shape::default() }).await;
+    let target = &fleet.targets[0][0];
+    fleet.signal(host, Role::Relay, Signal::SIGSTOP);
+    let sign = refuse_as_draining(&fleet, target).await;
+    target.set(Behaviour { draining: false, ..target.behaviour() });
+    tokio::time::sleep_until(sign + LEAVES_WITHIN).await;
+    let before = target.executions().len();
+    fleet.signal(host, Role::Relay, Signal::SIGCONT);
+    sleep(Duration::from_millis(1000)).await;
+    fleet.signal(1 - host, Role::Relay, Signal::SIGKILL);
+    let end = Instant::now() + LEAVES_WITHIN;
+    let mut answers = 0;
+    while Instant::now() < end {
+        let answer = fleet.client_of(host).query_once(&fleet.lookup(2)).await;
+        answers += usize::from(answer.is_ok_and(|answer| answer.missing.is_empty()));
+    }
+    assert!(answers > 0, "the woken relay serves all shards by the other replica");
+    assert_eq!(target.executions().len() - before, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_sign_reaches_a_first_relay_that_slept() {
+    a_sign_reaches_the_relay_that_slept_at(0).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_sign_reaches_a_second_relay_that_slept() {
+    a_sign_reaches_the_relay_that_slept_at(1).await;
+}
--- a/crates/proofs/tests/relay_in_process.rs
+++ b/crates/proofs/tests/relay_in_process.rs
@@ -70,7 +70,7 @@
         origin: Incarnation(1),
         stamp: Default::default(),
         fingerprint: Fingerprint(query as u64),
-        breaks: 0,
+        mark: None,
         class: "lookup".parse().unwrap(),
         budget_ms: budget.as_millis() as u32,
         idempotent: true,
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -13,9 +13,9 @@
 
 use crate::{
     cell::CellContext,
+    notices,
     service_state::ServiceState,
     slot::{Slot, now},
-    tell::tell_leaving,
 };
 
 /// For how long a cancelled exchange may keep its slot until the target ends it.
@@ -116,7 +116,7 @@
         Err(error) if error.is_not_sent() => (AttemptEnd::NotSent, Ran::No, Finish::Lost),
         Err(ExchangeError::Timeout { .. }) => (AttemptEnd::Deadline, Ran::Unknown, Finish::Failed),
         Err(_) => {
-            let mark = |alone| cx.relay.mark(cx.fingerprint, alone, &cx.block);
+            let mark = |alone| cx.relay.mark(cx.fingerprint, alone);
             slot.service().note_break(now(), address, cx.fingerprint, mark);
             (AttemptEnd::Broken, Ran::Unknown, Finish::Lost)
         }
@@ -181,7 +181,7 @@
     if service.reply_says(now(), started, address, draining) {
         let detail = format!("{} at {address}", service.name());
         cx.relay.journal().record(Code::ReplicaLeaving, cx.query, detail);
-        tell_leaving(&cx.relay, service);
+        notices::tell(&cx.relay);
     }
 }
 
--- a/crates/relay/src/cell.rs
+++ b/crates/relay/src/cell.rs
@@ -7,7 +7,7 @@
 
 use egret_events::Code;
 use egret_model::{
-    BlockName, ClassName, Fingerprint, MissCause, PlacementId, QueryId, ServiceName, ShardName, SnapshotId,
+    ClassName, Fingerprint, MissCause, PlacementId, QueryId, ServiceName, ShardName, SnapshotId,
 };
 use egret_policy::Refused;
 use egret_wire::{NotRunReason, SearchRequest, ShardHits};
@@ -30,7 +30,6 @@
     pub(crate) relay: Relay,
     pub(crate) ledger: Arc<Ledger>,
     pub(crate) service: Arc<ServiceState>,
-    pub(crate) block: BlockName,
     pub(crate) query: QueryId,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) class: ClassName,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,6 +25,7 @@
 mod cell;
 mod instruments;
 mod ledger;
+mod notices;
 mod options;
 mod probe;
 mod relay;
@@ -32,7 +33,6 @@
 mod service_state;
 mod site;
 mod slot;
-mod tell;
 
 pub use options::Options;
 pub use relay::Relay;
--- /dev/null
+++ b/crates/relay/src/notices.rs
@@ -0,0 +1,77 @@
+//! Telling other candidates of a block what they cannot find out by themselves.
+//!
+//! Marks of crashing requests and signs of leaving targets are told at once, and
+//! again each second while they last. A relay that starts or wakes up asks the
+//! others, which answer with what they know (docs/DESIGN.md, "Between relays").
+
+use std::{net::SocketAddr, time::Duration};
+
+use egret_policy::LeavingSign;
+use egret_wire::{Leaving, NOTICE_PATH, Notice};
+use futures_util::future::join_all;
+
+use crate::{Relay, slot::now};
+
+/// How often notices are repeated, for candidates that could not be reached.
+pub(crate) const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
+
+const NOTICE_TIMEOUT: Duration = Duration::from_millis(500);
+const MARKS_MAX: usize = 64;
+const LEAVING_MAX: usize = 64;
+
+/// Returns what this relay knows.
+pub(crate) fn own_notice(relay: &Relay) -> Notice {
+    let mut leaving: Vec<Leaving> = Vec::new();
+    for state in relay.services().iter() {
+        leaving.extend(state.leaving_signs(now()).into_iter().map(|sign| told(state.name().clone(), sign)));
+    }
+    leaving.truncate(LEAVING_MAX);
+    Notice { marks: relay.marks(MARKS_MAX), leaving }
+}
+
+/// Takes in what another relay knows.
+pub(crate) fn learn(relay: &Relay, notice: &Notice) {
+    notice.marks.iter().for_each(|mark| relay.learn(*mark));
+    notice.leaving.iter().for_each(|leaving| relay.learn_leaving(leaving));
+}
+
+/// Tells every neighbour what this relay knows, without waiting.
+pub(crate) fn tell(relay: &Relay) {
+    let relay = relay.clone();
+    relay.traffic().clone().spawn(async move { exchange(&relay).await });
+}
+
+/// Exchanges notices with every neighbour, which ends when all answered or are late.
+pub(crate) async fn exchange(relay: &Relay) {
+    let notice = own_notice(relay);
+    let exchanges = neighbours(relay).into_iter().map(|neighbour| exchange_with(relay, neighbour, &notice));
+    join_all(exchanges).await;
+}
+
+async fn exchange_with(relay: &Relay, neighbour: SocketAddr, notice: &Notice) {
+    let answer: Result<Notice, _> =
+        relay.client().post_packed(neighbour, NOTICE_PATH, notice, NOTICE_TIMEOUT).await;
+    if let Ok(answer) = answer {
+        learn(relay, &answer);
+    }
+}
+
+/// Lists the relays that are candidates of a block of this one, sorted.
+fn neighbours(relay: &Relay) -> Vec<SocketAddr> {
+    let view = relay.view();
+    let own = relay.host().as_str();
+    let shared = view.blocks().iter().filter(|block| block.has_candidate(own));
+    let mut neighbours: Vec<SocketAddr> = shared
+        .flat_map(|block| block.live.iter().chain(&block.all))
+        .filter(|candidate| candidate.host.as_str() != own)
+        .map(|candidate| candidate.relay)
+        .collect();
+    neighbours.sort_unstable();
+    neighbours.dedup();
+    neighbours
+}
+
+fn told(service: egret_model::ServiceName, sign: LeavingSign) -> Leaving {
+    let LeavingSign { address, incarnation, age } = sign;
+    Leaving { service, address, incarnation, age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX) }
+}
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -3,27 +3,27 @@
 use std::{
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
 
 use arc_swap::ArcSwap;
 use egret_events::{Code, Journal};
-use egret_model::{BlockName, Fingerprint, HostName, Incarnation, ServiceName};
+use egret_model::{Fingerprint, HostName, Incarnation, Mark, ServiceName};
 use egret_node::{Follower, HttpClient, Ops, View, new_incarnation};
 use egret_policy::{Baseline, LeavingSign, PauseDetector, Suspects};
-use egret_wire::{Leaving, MARK_PATH, Mark, Scatter, ScatterReply};
+use egret_wire::{Leaving, Notice, Scatter, ScatterReply};
 use tokio::runtime::Handle;
 
 use crate::{
     Options, RelaySite,
     instruments::Instruments,
+    notices::{self, REPEAT_INTERVAL},
     probe::probe_due,
     scatter::{self, find_service},
     service_state::ServiceState,
     slot::now,
-    tell::{REPEAT_INTERVAL, tell_candidates, tell_leaving},
 };
 
 const TICK: Duration = Duration::from_millis(50);
@@ -45,6 +45,8 @@
     services: ArcSwap<Vec<Arc<ServiceState>>>,
     suspects: Mutex<Suspects>,
     attempts: AtomicU64,
+    /// Whether the other candidates were asked since the start.
+    told: AtomicBool,
 }
 
 impl Relay {
@@ -63,6 +65,7 @@
             services: ArcSwap::default(),
             suspects: Mutex::default(),
             attempts: AtomicU64::new(0),
+            told: AtomicBool::new(false),
         };
         let relay = Self { inner: Arc::new(inner) };
         tokio::spawn(relay.clone().follow());
@@ -88,10 +91,8 @@
     }
 
     /// Takes in what another process knows of a request.
-    pub fn learn(&self, fingerprint: Fingerprint, breaks: u8) {
-        if breaks > 0 {
-            self.suspects().learn(now(), fingerprint, breaks);
-        }
+    pub fn learn(&self, mark: Mark) {
+        self.suspects().learn(now(), mark);
     }
 
     pub(crate) fn journal(&self) -> &Journal {
@@ -151,15 +152,24 @@
         self.suspects().prove(fingerprint);
     }
 
-    pub(crate) fn breaks(&self, fingerprint: Fingerprint) -> u8 {
-        self.suspects().breaks(now(), fingerprint)
+    /// Returns what is known of a request, where it broke targets.
+    pub(crate) fn mark_of(&self, fingerprint: Fingerprint) -> Option<Mark> {
+        self.suspects().told(now(), fingerprint)
+    }
+
+    pub(crate) fn marks(&self, max: usize) -> Vec<Mark> {
+        self.suspects().all_told(now(), max)
     }
 
-    /// Marks a request that broke a connection, and tells the block's other candidates.
-    pub(crate) fn mark(&self, fingerprint: Fingerprint, alone: bool, block: &BlockName) {
+    pub(crate) fn services(&self) -> Arc<Vec<Arc<ServiceState>>> {
+        self.inner.services.load_full()
+    }
+
+    /// Marks a request that broke a connection, and tells the other candidates.
+    pub(crate) fn mark(&self, fingerprint: Fingerprint, alone: bool) {
         let breaks = self.suspects().mark(now(), fingerprint, alone);
         self.journal().record(Code::SuspectMarked, None, format!("{fingerprint} broke {breaks}"));
-        tell_candidates(self, block, MARK_PATH, Mark { fingerprint, breaks });
+        notices::tell(self);
     }
 
     /// Takes another relay's word that a target leaves.
@@ -174,6 +184,24 @@
         }
     }
 
+    /// Repeats what this relay knows, where there is anything.
+    fn repeat_notices(&self) {
+        if notices::own_notice(self) != Notice::default() {
+            notices::tell(self);
+        }
+    }
+
+    /// Asks the other candidates before this relay takes work.
+    async fn ask_candidates(self) {
+        notices::exchange(&self).await;
+        self.inner.told.store(true, Ordering::SeqCst);
+    }
+
+    /// Tells whether the other candidates were asked what this relay cannot find out.
+    pub(crate) fn is_told(&self) -> bool {
+        self.inner.told.load(Ordering::SeqCst)
+    }
+
     fn suspects(&self) -> MutexGuard<'_, Suspects> {
         self.inner.suspects.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -201,10 +229,13 @@
             services.push(state);
         }
         self.inner.services.store(Arc::new(services));
+        if !self.is_told() {
+            tokio::spawn(self.clone().ask_candidates());
+        }
         self.inner.instruments.version.record(view.config.version().0, &[]);
     }
 
-    /// Probes targets, ends hopeless waits, repeats signs of leaving and notices pauses.
+    /// Probes targets, ends hopeless waits, repeats notices and finds pauses.
     async fn tick(self) {
         let mut pauses = PauseDetector::new(now(), TICK);
         let mut told_at = now();
@@ -212,18 +243,18 @@
             tokio::time::sleep(TICK).await;
             if let Some(pause) = pauses.tick(now()) {
                 self.journal().record(Code::Paused, None, format!("{} ms", pause.as_millis()));
+                // What it knew of leaving targets may be old, also where their health says ready.
+                self.inner.told.store(false, Ordering::SeqCst);
+                tokio::spawn(self.clone().ask_candidates());
             }
-            let tells = now().saturating_duration_since(told_at) >= REPEAT_INTERVAL;
-            if tells {
+            if now().saturating_duration_since(told_at) >= REPEAT_INTERVAL {
                 told_at = now();
+                self.repeat_notices();
             }
             let (mut slots, mut queue, mut warm) = (0, 0, self.inner.follower.is_ready());
             for state in self.inner.services.load().iter() {
                 probe_due(&self, state);
                 state.poll(now());
-                if tells {
-                    tell_leaving(&self, state);
-                }
                 for address in state.take_ejected() {
                     self.journal().record(
                         Code::ReplicaEjected,
@@ -236,7 +267,7 @@
                 slots += usage.0;
                 queue += usage.1;
             }
-            if warm {
+            if warm && self.inner.told.load(Ordering::SeqCst) {
                 self.inner.ops.set_ready(true);
             }
             self.inner.instruments.slots.record(slots as u64, &[]);
--- a/crates/relay/src/scatter.rs
+++ b/crates/relay/src/scatter.rs
@@ -68,7 +68,7 @@
     let received = now();
     relay.journal().clock().observe(scatter.stamp);
     relay.journal().record(Code::ScatterReceived, scatter.query, format!("{} parts", scatter.parts.len()));
-    relay.learn(scatter.fingerprint, scatter.breaks);
+    scatter.mark.into_iter().for_each(|mark| relay.learn(mark));
     let budget = Duration::from_millis(u64::from(scatter.budget_ms)).saturating_sub(REPLY_MARGIN);
     let deadline = received + budget;
     let ledger = Arc::new(Ledger::default());
@@ -95,7 +95,7 @@
         stamp: relay.journal().record(Code::ScatterReplied, scatter.query, detail),
         snapshot: scatter.snapshot,
         ran: ledger.ran(),
-        breaks: relay.breaks(scatter.fingerprint),
+        mark: relay.mark_of(scatter.fingerprint),
         retry_after_ms: gathering.retry_after.map(|after| after.as_millis() as u64),
         leaving: relay.is_leaving(),
         attempts: ledger.attempts(),
@@ -182,8 +182,9 @@
         return cells;
     }
     for (index, part) in scatter.parts.iter().enumerate() {
-        // A relay that does not know its targets yet leaves the work to the next candidate.
-        let Some(state) = relay.service(&part.service).filter(|state| state.is_warm()) else {
+        // A relay that does not know its targets, or what others know of them, leaves the work to the next candidate.
+        let Some(state) = relay.service(&part.service).filter(|state| state.is_warm() && relay.is_told())
+        else {
             gathering.miss(index, part.shards.iter().cloned(), MissCause::NotOwner.into());
             continue;
         };
@@ -194,7 +195,6 @@
                 relay: relay.clone(),
                 ledger: Arc::clone(ledger),
                 service: Arc::clone(&state),
-                block: service.block.clone(),
                 query: scatter.query,
                 fingerprint: scatter.fingerprint,
                 class: scatter.class.clone(),
--- a/crates/relay/src/site.rs
+++ b/crates/relay/src/site.rs
@@ -1,9 +1,9 @@
 //! The relay's HTTP interface.
 
 use egret_node::{Call, Reply, Site};
-use egret_wire::{LEAVING_PATH, Leaving, MARK_PATH, Mark, SCATTER_PATH, Scatter, decode};
+use egret_wire::{NOTICE_PATH, Notice, SCATTER_PATH, Scatter, decode};
 
-use crate::Relay;
+use crate::{Relay, notices};
 
 /// Serves entries, other relays and operators.
 #[derive(Debug)]
@@ -27,17 +27,10 @@
                 Ok(scatter) => Reply::packed(&self.relay.answer(scatter).await),
                 Err(error) => Reply::text(400, format!("{error}\n")),
             },
-            MARK_PATH => match decode::<Mark>(&call.body) {
-                Ok(mark) => {
-                    self.relay.learn(mark.fingerprint, mark.breaks);
-                    Reply::packed(&true)
-                }
-                Err(error) => Reply::text(400, format!("{error}\n")),
-            },
-            LEAVING_PATH => match decode::<Leaving>(&call.body) {
-                Ok(leaving) => {
-                    self.relay.learn_leaving(&leaving);
-                    Reply::packed(&true)
+            NOTICE_PATH => match decode::<Notice>(&call.body) {
+                Ok(notice) => {
+                    notices::learn(&self.relay, &notice);
+                    Reply::packed(&notices::own_notice(&self.relay))
                 }
                 Err(error) => Reply::text(400, format!("{error}\n")),
             },
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,13 +17,13 @@
 //! - [`QueryRequest`], [`QueryAnswer`], [`RefusalBody`]: callers, docs/API.md.
 //! - [`SearchRequest`], [`SearchReply`], [`NotRun`], [`Health`], [`Cancel`]: targets, docs/TARGETS.md.
 //! - [`Scatter`], [`ScatterReply`]: from entry to relay and back.
-//! - [`Mark`], [`Leaving`]: between relays. [`PeerState`], [`LocalState`]: from agents.
+//! - [`Notice`]: between relays. [`PeerState`], [`LocalState`]: from agents.
 
 mod answer;
 mod codec;
 mod leaving;
-mod mark;
 mod not_run;
+mod notice;
 mod paths;
 mod peer;
 mod platform;
@@ -39,12 +39,12 @@
 pub use answer::{MissingShard, QueryAnswer, ServiceShards, ShownHit};
 pub use codec::{DecodeError, decode, encode};
 pub use leaving::Leaving;
-pub use mark::Mark;
 pub use not_run::{NotRun, NotRunReason};
+pub use notice::Notice;
 pub use paths::{
     CANCEL_PATH, CONFIG_HEAD_KEY, CONFIG_MANIFEST_KEY, CONFIG_PATH, CONFIG_VALUE_PREFIX, EVENTS_PATH,
-    FORWARD_PATH, HEALTH_PATH, HOSTS_KEY, LEAVING_PATH, LIVE_PATH, MARK_PATH, METRICS_PATH, PEER_PATH,
-    PEER_VALUE_PATH, QUERY_PATH, READY_PATH, SCATTER_PATH, SEARCH_PATH, STATE_PATH, TICKET_PATH,
+    FORWARD_PATH, HEALTH_PATH, HOSTS_KEY, LIVE_PATH, METRICS_PATH, NOTICE_PATH, PEER_PATH, PEER_VALUE_PATH,
+    QUERY_PATH, READY_PATH, SCATTER_PATH, SEARCH_PATH, STATE_PATH, TICKET_PATH,
 };
 pub use peer::{PeerQuery, PeerState, ValueQuery, ValueReply};
 pub use platform::PlatformValue;
--- /dev/null
+++ b/crates/wire/src/notice.rs
@@ -0,0 +1,19 @@
+//! What the candidates of a block tell each other.
+
+use egret_model::{Mark, record};
+
+use crate::Leaving;
+
+record! {
+    /// What one relay knows and another one cannot find out by itself.
+    ///
+    /// The answer is a notice too, so that a relay that starts or wakes up learns
+    /// what it missed.
+    #[derive(Default, Eq)]
+    pub struct Notice {
+        /// Requests that broke targets.
+        pub marks: Vec<Mark>,
+        /// Targets that said that they leave.
+        pub leaving: Vec<Leaving>,
+    }
+}
--- a/crates/wire/src/paths.rs
+++ b/crates/wire/src/paths.rs
@@ -24,10 +24,8 @@
 pub const SCATTER_PATH: &str = "/internal/scatter";
 /// Entries pass requests with a ticket to the entry that minted it here.
 pub const FORWARD_PATH: &str = "/internal/forward";
-/// Relays tell each other about marked requests here.
-pub const MARK_PATH: &str = "/internal/mark";
-/// Relays tell each other about targets that leave here.
-pub const LEAVING_PATH: &str = "/internal/leaving";
+/// Relays tell each other what only one of them has seen here.
+pub const NOTICE_PATH: &str = "/internal/notice";
 /// Agents exchange their states here.
 pub const PEER_PATH: &str = "/internal/peer";
 /// Agents fetch published values from each other here.
--- a/crates/wire/src/scatter.rs
+++ b/crates/wire/src/scatter.rs
@@ -2,7 +2,8 @@
 
 use egret_events::Stamp;
 use egret_model::{
-    ClassName, Fingerprint, Incarnation, PlacementId, QueryId, ServiceName, ShardName, SnapshotId, record,
+    ClassName, Fingerprint, Incarnation, Mark, PlacementId, QueryId, ServiceName, ShardName, SnapshotId,
+    record,
 };
 
 record! {
@@ -30,8 +31,8 @@
         pub stamp: Stamp,
         /// The request's fingerprint.
         pub fingerprint: Fingerprint,
-        /// Connections that the entry knows the fingerprint to have broken.
-        pub breaks: u8,
+        /// What the entry knows of the request, where it broke targets.
+        pub mark: Option<Mark>,
         /// The class of work.
         pub class: ClassName,
         /// The time left, in milliseconds.
--- a/crates/wire/src/scatter_reply.rs
+++ b/crates/wire/src/scatter_reply.rs
@@ -2,7 +2,8 @@
 
 use egret_events::Stamp;
 use egret_model::{
-    Hit, Incarnation, MissCause, QueryId, Ran, ServiceName, ShardName, SnapshotId, SnapshotShards, record,
+    Hit, Incarnation, Mark, MissCause, QueryId, Ran, ServiceName, ShardName, SnapshotId, SnapshotShards,
+    record,
 };
 
 record! {
@@ -53,8 +54,8 @@
         pub snapshot: SnapshotId,
         /// Whether any target ran any of the parts.
         pub ran: Ran,
-        /// Connections that the fingerprint is known to have broken.
-        pub breaks: u8,
+        /// What the relay knows of the request, where it broke targets.
+        pub mark: Option<Mark>,
         /// Milliseconds after which asking again makes sense.
         pub retry_after_ms: Option<u64>,
         /// Whether the relay is shutting down, so that further work belongs elsewhere.
