Send host lists between agents as changes

Cause: docs/CAPACITY.md had the host list over the control budget by itself: an agent sent the whole list to each peer that lagged. Ruled out: a list by data centre (owners need all hosts), and values of the platform by host (the platform gives the list whole).

Agents keep the last 32 changes and send those since the peer's revision; only one that starts or missed more gets the whole list. News that do not fit change nothing.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -10,7 +10,7 @@
 };
 
 use arc_swap::ArcSwap;
-use egret_conf::{Head, HostList, Manifest, Service};
+use egret_conf::{Head, HostList, HostsNews, Manifest, Service};
 use egret_events::{Clock, Code, Journal};
 use egret_node::{HttpClient, Metrics, Ops, label};
 use egret_wire::{CONFIG_HEAD_KEY, HOSTS_KEY, PEER_PATH, PeerQuery, PeerState};
@@ -110,7 +110,7 @@
         let newer = state.head.supersedes(query.version, query.root);
         PeerState {
             head: newer.then(|| state.head.since(query.version)),
-            hosts: (state.hosts.revision > query.hosts_revision).then(|| state.hosts.clone()),
+            hosts: state.hosts_news(query.hosts_revision),
             heard_ms_ago: self.heard_ms_ago(),
         }
     }
@@ -190,7 +190,9 @@
         };
         let source = Source::platform(platform.clone(), self.inner.client.clone());
         let taken = match key {
-            HOSTS_KEY => parse::<HostList>(key, &value.value).map(|hosts| self.take_hosts(hosts)),
+            HOSTS_KEY => {
+                parse::<HostList>(key, &value.value).map(|hosts| self.take_hosts(HostsNews::Whole(hosts)))
+            }
             _ => match parse::<Head>(key, &value.value) {
                 Ok(head) => self.take_head(head, &source).await,
                 Err(error) => Err(error),
@@ -250,19 +252,21 @@
             head: head.with_history(&now.head),
             manifest: manifest.clone(),
             services: services.clone(),
-            hosts: now.hosts.clone(),
+            ..now.clone()
         });
         self.inner.ops.journal.record(Code::ConfigInForce, None, format!("version {version}"));
         Ok(())
     }
 
-    fn take_hosts(&self, mut hosts: HostList) {
-        if hosts.revision <= self.state().hosts.revision {
-            return;
-        }
-        hosts.sort();
-        let revision = hosts.revision;
-        self.put_in_force(|now| AgentState { hosts: hosts.clone(), ..now.clone() });
+    /// Puts a newer host list in force; news that do not fit are left for the next question.
+    fn take_hosts(&self, news: HostsNews) {
+        let Some(next) = self.state().with_hosts(news) else { return };
+        let revision = next.hosts.revision;
+        self.put_in_force(|now| AgentState {
+            hosts: next.hosts.clone(),
+            hosts_changes: next.hosts_changes.clone(),
+            ..now.clone()
+        });
         self.inner.ops.journal.record(Code::HostsInForce, None, format!("revision {revision}"));
     }
 
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use egret_conf::{Hash, Head, HostList, Manifest, Service};
+use egret_conf::{
+    Hash, Head, HostList, HostsChange, HostsNews, Manifest, RECENT_HOSTS_CHANGES, Service, hosts_news,
+};
 use egret_wire::{CONFIG_MANIFEST_KEY, CONFIG_VALUE_PREFIX, LocalState, PeerQuery, StateQuery};
 
 /// One immutable state: the head, the services behind it and the hosts.
@@ -16,6 +18,8 @@
     pub services: Vec<Arc<Service>>,
     /// The newest host list.
     pub hosts: HostList,
+    /// The last changes that led to it, oldest first.
+    pub hosts_changes: Vec<HostsChange>,
 }
 
 impl AgentState {
@@ -59,6 +63,25 @@
         })
     }
 
+    /// Returns what is new in the host list for a peer at a revision, where anything is.
+    #[must_use]
+    pub fn hosts_news(&self, revision: u64) -> Option<HostsNews> {
+        (self.hosts.revision > revision).then(|| hosts_news(&self.hosts, &self.hosts_changes, revision))
+    }
+
+    /// Returns this state with a newer host list, where the news fit.
+    #[must_use]
+    pub fn with_hosts(&self, news: HostsNews) -> Option<Self> {
+        let mut next = self.clone();
+        if !next.hosts.take_news(news) {
+            return None;
+        }
+        next.hosts_changes.push(self.hosts.change_to(&next.hosts));
+        let kept = next.hosts_changes.len().saturating_sub(RECENT_HOSTS_CHANGES);
+        next.hosts_changes.drain(..kept);
+        Some(next)
+    }
+
     /// Tells whether an asking peer has something newer.
     #[must_use]
     pub fn is_behind(&self, query: &PeerQuery) -> bool {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use egret_conf::{Hash, Head, HostList};
+use egret_conf::{Hash, Head, HostsNews};
 use egret_model::{Version, record};
 
 record! {
@@ -27,8 +27,8 @@
     pub struct PeerState {
         /// The newest head, where it goes before the asker's.
         pub head: Option<Head>,
-        /// The host list, where it is newer than the asker's.
-        pub hosts: Option<HostList>,
+        /// What is new in the host list, where it is newer than the asker's.
+        pub hosts: Option<HostsNews>,
         /// Milliseconds since the agent, or someone it heard from, reached the platform.
         pub heard_ms_ago: u64,
     }
