Hedge later, and look for a free slot again

Cause: hedges went out at the 95th percentile of the best replica, so one ordinary attempt in twenty asked for one and used the budget up; and an attempt at the slow replica looked once for a free slot at the other one, which is busy a third of the time at this load. Ruled out: a larger budget (every copy is licensed) and a fixed delay (it does not follow the service).

--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -12,12 +12,17 @@
 };
 
 const HEDGE_QUANTILE: f64 = 0.95;
+/// How far beyond the quantile an attempt must be before a hedge goes out.
+const HEDGE_FACTOR: f64 = 1.5;
 const HEDGE_SAMPLES_MIN: usize = 32;
 const SLOW_SAMPLES_MIN: usize = 16;
 const SLOW_FACTOR: u32 = 4;
 
 impl Dispatcher {
     /// Returns how long an attempt may run before a hedge makes sense.
+    ///
+    /// A hedge at the quantile itself would go out for each twentieth ordinary attempt,
+    /// and leave no budget for the slow ones.
     #[must_use]
     pub fn hedge_delay(&self) -> Option<Duration> {
         if self.limits.baseline == Baseline::FixedHedge {
@@ -33,6 +38,7 @@
             .filter(known)
             .filter_map(|replica| replica.latency.quantile(HEDGE_QUANTILE))
             .min()
+            .map(|usual| usual.mul_f64(HEDGE_FACTOR))
     }
 
     /// Takes a slot for a hedge on a replica other than those `tried`.
--- a/crates/relay/src/cell.rs
+++ b/crates/relay/src/cell.rs
@@ -22,6 +22,8 @@
     slot::{Slot, now},
 };
 
+/// How soon to look again for a free slot for a hedge.
+const HEDGE_RETRY_AFTER: Duration = Duration::from_millis(5);
 const TRIES_MAX: usize = 4;
 
 /// Everything that an attempt needs to know of its cell.
@@ -159,7 +161,15 @@
             end = &mut first => return ended(end),
             () = tokio::time::sleep(delay) => {}
         }
-        let Some(slot) = self.hedge_slot(first_address) else { return ended(first.await) };
+        let slot = loop {
+            if let Some(slot) = self.hedge_slot(first_address) {
+                break slot;
+            }
+            tokio::select! {
+                end = &mut first => return ended(end),
+                () = tokio::time::sleep(HEDGE_RETRY_AFTER) => {}
+            }
+        };
         self.relay.instruments().hedge();
         self.relay.journal().record(Code::HedgeSent, self.query, self.describe());
         let mut second = attempt::spawn(Arc::clone(self), slot);
