--- a/crates/entry/src/gather.rs
+++ b/crates/entry/src/gather.rs
@@ -162,17 +162,15 @@
             return (from == 0).then_some((relay, 0));
         }
         let block = self.view.block(&part.block)?;
-        let candidates = if block.live.is_empty() { &block.all } else { &block.live };
         let up = |(_, relay): &(usize, &egret_policy::RelayHost)| self.entry.is_relay_up(relay.relay);
-        let listed = || candidates.iter().enumerate().skip(from);
+        let listed = || block.candidates().iter().enumerate().skip(from);
         let (candidate, relay) = listed().find(up).or_else(|| listed().next())?;
         Some((relay.relay, candidate))
     }
 
     fn candidates_after(&self, part: &PlannedPart, candidate: usize) -> Vec<SocketAddr> {
         let Some(block) = self.view.block(&part.block) else { return Vec::new() };
-        let candidates = if block.live.is_empty() { &block.all } else { &block.live };
-        candidates.iter().skip(candidate + 1).map(|other| other.relay).collect()
+        block.candidates().iter().skip(candidate + 1).map(|other| other.relay).collect()
     }
 
     fn scatter(&self, routed: &Routed) -> Scatter {
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -21,6 +21,12 @@
 }
 
 impl Block {
+    /// Returns the candidates to ask, best first: those that stay, or all where none does.
+    #[must_use]
+    pub fn candidates(&self) -> &[RelayHost] {
+        if self.live.is_empty() { &self.all } else { &self.live }
+    }
+
     /// Tells whether a relay may own the block, by this view.
     #[must_use]
     pub fn has_candidate(&self, host: &str) -> bool {
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -65,7 +65,7 @@
 
     /// Chooses a free replica with the least expected latency.
     ///
-    /// Ejected replicas serve only where no other live one can. An unproven request
+    /// Replicas that are ejected or shed work serve only where no other live one can. An unproven request
     /// stays with the replica that runs its like, so that it breaks one at most.
     pub(crate) fn choose(
         &self,
@@ -80,7 +80,7 @@
             .map(|run| run.address)
             .collect();
         let live = self.live_among(now, replicas);
-        let fit: Vec<_> = live.iter().filter(|replica| !replica.is_ejected(now)).collect();
+        let fit: Vec<_> = live.iter().filter(|replica| !replica.is_avoided(now)).collect();
         let pool: Vec<_> = if fit.is_empty() { live.iter().collect() } else { fit };
         let usual = self.latency.mean();
         let best = pool.iter().map(|replica| replica.expected(now, usual)).min().unwrap_or_default();
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -18,6 +18,9 @@
 const EJECT_AFTER_FAILURES: u32 = 3;
 const EJECT_FIRST: Duration = Duration::from_secs(1);
 const EJECT_DOUBLINGS_MAX: u32 = 4;
+/// A replica that refuses as busy is left alone for this long at first.
+const SHED_PAUSE_FIRST: Duration = Duration::from_millis(20);
+const SHED_DOUBLINGS_MAX: u32 = 6;
 const ESTIMATE_LASTS: Duration = Duration::from_secs(5);
 /// A sign of draining outlasts later reports that say otherwise, because reports mislead.
 const DRAINING_LASTS: Duration = Duration::from_secs(10);
@@ -74,6 +77,8 @@
     failures: u32,
     ejections: u32,
     ejected_until: Option<Instant>,
+    sheds: u32,
+    shed_until: Option<Instant>,
     warm_slots: u16,
 }
 
@@ -96,6 +101,8 @@
             failures: 0,
             ejections: 0,
             ejected_until: None,
+            sheds: 0,
+            shed_until: None,
             warm_slots: 1,
         }
     }
@@ -192,6 +199,11 @@
         self.ejected_until.is_some_and(|until| now < until)
     }
 
+    /// Tells whether work should go to another replica, where there is one.
+    pub(crate) fn is_avoided(&self, now: Instant) -> bool {
+        self.is_ejected(now) || self.shed_until.is_some_and(|until| now < until)
+    }
+
     pub(crate) fn has_free_slot(&self, slots: u16) -> bool {
         self.in_flight < slots.min(self.warm_slots)
     }
@@ -215,6 +227,7 @@
                 self.latency.add(latency);
                 self.measured_at = Some(now);
                 self.failures = 0;
+                self.sheds = 0;
                 self.warm_slots = (self.warm_slots + 1).min(slots);
             }
             Finish::Failed => {
@@ -225,6 +238,11 @@
                 }
             }
             Finish::Lost => self.lose(),
+            Finish::Shed => {
+                let pause = SHED_PAUSE_FIRST * 2_u32.pow(self.sheds.min(SHED_DOUBLINGS_MAX));
+                self.sheds += 1;
+                self.shed_until = Some(now + pause);
+            }
             Finish::NotRun | Finish::Cancelled => {}
         }
         false
--- a/crates/policy/src/work.rs
+++ b/crates/policy/src/work.rs
@@ -73,7 +73,9 @@
     Answered(Duration),
     /// The target failed or answered nonsense.
     Failed,
-    /// The target said that it did not run it.
+    /// The target refused it as busy.
+    Shed,
+    /// The target said for another reason that it did not run it.
     NotRun,
     /// The connection could not be opened or broke.
     Lost,
--- a/crates/policy/tests/scenarios.rs
+++ b/crates/policy/tests/scenarios.rs
@@ -123,6 +123,7 @@
             None => match text(case, "kind").as_str() {
                 "failed" => Finish::Failed,
                 "not-run" => Finish::NotRun,
+                "shed" => Finish::Shed,
                 "lost" => Finish::Lost,
                 "cancelled" => Finish::Cancelled,
                 other => panic!("unknown kind {other}"),
--- a/crates/proofs/examples/bench/bytes.rs
+++ b/crates/proofs/examples/bench/bytes.rs
@@ -7,12 +7,16 @@
 
 use egret_proofs::{Shape, World};
 use egret_wire::{HEALTH_PATH, HOSTS_KEY, NOTICE_PATH, PEER_PATH};
-use tokio::{runtime::Builder, time::sleep};
+use tokio::{
+    runtime::Builder,
+    time::{Instant, sleep},
+};
 
 const HOSTS: [usize; 4] = [10, 40, 160, 550];
 const SETTLES: Duration = Duration::from_secs(5);
 const LENGTH: Duration = Duration::from_secs(20);
 const CHANGES: u32 = 10;
+const STEP: Duration = Duration::from_millis(10);
 
 /// What one size costs, by daemon.
 struct Cost {
@@ -22,19 +26,26 @@
     idle_notice: f64,
     hosts_change: f64,
     hosts_list: u64,
+    in_force: Duration,
 }
 
 /// Measures all sizes and prints a table.
 pub(crate) fn run() {
     println!(
-        "| hosts | peer bodies, B/s an agent | probe bodies, B/s a relay | notices, B/s a relay | a change of one host, B an agent | the whole list, B |"
+        "| hosts | peer bodies, B/s an agent | probe bodies, B/s a relay | notices, B/s a relay | a change of one host, B an agent | the whole list, B | a version in force everywhere, ms |"
     );
-    println!("|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|");
     for hosts in HOSTS {
         let cost = measure(hosts);
         println!(
-            "| {} | {:.0} | {:.0} | {:.1} | {:.0} | {} |",
-            cost.hosts, cost.idle_peer, cost.idle_probe, cost.idle_notice, cost.hosts_change, cost.hosts_list
+            "| {} | {:.0} | {:.0} | {:.1} | {:.0} | {} | {} |",
+            cost.hosts,
+            cost.idle_peer,
+            cost.idle_probe,
+            cost.idle_notice,
+            cost.hosts_change,
+            cost.hosts_list,
+            cost.in_force.as_millis()
         );
     }
 }
@@ -56,6 +67,7 @@
         }
         let changed = bytes(&world, PEER_PATH) - after[0];
         let idle = rate(0) * LENGTH.as_secs_f64() * hosts as f64;
+        let in_force = time_to_force(&mut world).await;
         let list = world.platform.value_bytes(HOSTS_KEY);
         Cost {
             hosts,
@@ -64,10 +76,21 @@
             idle_notice: rate(2),
             hosts_change: (changed as f64 - idle) / f64::from(CHANGES) / hosts as f64,
             hosts_list: list,
+            in_force,
         }
     })
 }
 
+/// Publishes a version and waits until every entry has it in force.
+async fn time_to_force(world: &mut World) -> Duration {
+    let version = world.publish(|declared| declared.shape.slots += 1);
+    let published = Instant::now();
+    while world.versions().iter().any(|seen| *seen != version) {
+        sleep(STEP).await;
+    }
+    published.elapsed()
+}
+
 fn leaving(number: u32) -> egret_conf::HostState {
     if number.is_multiple_of(2) { egret_conf::HostState::Leaving } else { egret_conf::HostState::Live }
 }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -74,6 +74,8 @@
     let exchange = client.post_json(address, SEARCH_PATH, &request, within);
     tokio::pin!(exchange);
     let ended = tokio::select! {
+        // A reply that is there counts, also at the very end.
+        biased;
         ended = &mut exchange => Some(ended),
         () = tokio::time::sleep_until(cx.deadline.into()) => None,
         () = tx.closed() => None,
@@ -141,7 +143,9 @@
         return match serde_json::from_slice::<NotRun>(&exchange.body) {
             Ok(NotRun { reason, .. }) => {
                 learn_not_run(cx, slot, started, reason);
-                (AttemptEnd::NotRun(reason), Ran::No, Finish::NotRun)
+                let is_shed = reason == NotRunReason::Busy;
+                let finish = if is_shed { Finish::Shed } else { Finish::NotRun };
+                (AttemptEnd::NotRun(reason), Ran::No, finish)
             }
             Err(_) => (AttemptEnd::BadReply, Ran::Unknown, Finish::Failed),
         };
--- a/crates/relay/src/cell.rs
+++ b/crates/relay/src/cell.rs
@@ -158,6 +158,7 @@
         let delay = if self.idempotent { self.service.hedge_delay() } else { None };
         let Some(delay) = delay else { return ended(first.await) };
         tokio::select! {
+            biased;
             end = &mut first => return ended(end),
             () = tokio::time::sleep(delay) => {}
         }
@@ -166,6 +167,7 @@
                 break slot;
             }
             tokio::select! {
+                biased;
                 end = &mut first => return ended(end),
                 () = tokio::time::sleep(HEDGE_RETRY_AFTER) => {}
             }
@@ -174,6 +176,7 @@
         self.relay.journal().record(Code::HedgeSent, self.query, self.describe());
         let mut second = attempt::spawn(Arc::clone(self), slot);
         tokio::select! {
+            biased;
             end = &mut first => better(ended(end), second).await,
             end = &mut second => better(ended(end), first).await,
         }
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -370,6 +370,7 @@
                 return false;
             }
             tokio::select! {
+                biased;
                 () = tokio::time::sleep_until(end) => return true,
                 _ = cancels.changed() => {}
             }
