Split the stand-in target; merge two equal loops in a test

The connections are now in target_server.rs, the loop is whole_answers. Assertions and bounds are as before.

--- a/crates/proofs/tests/leaving.rs
+++ b/crates/proofs/tests/leaving.rs
@@ -115,6 +115,17 @@
     assert_eq!(target.executions().len() - before, 0);
 }
 
+/// Asks one entry for a while and returns how many answers were whole.
+async fn whole_answers(fleet: &Fleet, host: usize) -> usize {
+    let end = Instant::now() + LEAVES_WITHIN;
+    let mut whole = 0;
+    while Instant::now() < end {
+        let answer = fleet.client_of(host).query_once(&fleet.lookup(2)).await;
+        whole += usize::from(answer.is_ok_and(|answer| answer.missing.is_empty()));
+    }
+    whole
+}
+
 /// A target refuses work as draining, then the relay that was told so is lost.
 ///
 /// The stand-in's health says ready, so only the lost relay's word keeps work away.
@@ -126,13 +137,7 @@
     target.set(Behaviour { draining: false, ..target.behaviour() });
     let before = target.executions().len();
     fleet.signal(host, Role::Relay, Signal::SIGKILL);
-    let end = Instant::now() + LEAVES_WITHIN;
-    let mut answers = 0;
-    while Instant::now() < end {
-        let answer = fleet.client_of(1 - host).query_once(&fleet.lookup(2)).await;
-        answers += usize::from(answer.is_ok_and(|answer| answer.missing.is_empty()));
-    }
-    assert!(answers > 0, "the other relay serves all shards by the other replica");
+    assert!(whole_answers(&fleet, 1 - host).await > 0, "the other relay serves all shards");
     assert_eq!(target.executions().len() - before, 0);
 }
 
@@ -158,13 +163,7 @@
     fleet.signal(host, Role::Relay, Signal::SIGCONT);
     sleep(Duration::from_millis(1000)).await;
     fleet.signal(1 - host, Role::Relay, Signal::SIGKILL);
-    let end = Instant::now() + LEAVES_WITHIN;
-    let mut answers = 0;
-    while Instant::now() < end {
-        let answer = fleet.client_of(host).query_once(&fleet.lookup(2)).await;
-        answers += usize::from(answer.is_ok_and(|answer| answer.missing.is_empty()));
-    }
-    assert!(answers > 0, "the woken relay serves all shards by the other replica");
+    assert!(whole_answers(&fleet, host).await > 0, "the woken relay serves all shards");
     assert_eq!(target.executions().len() - before, 0);
 }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -27,6 +27,7 @@
 mod publish;
 mod records;
 mod target;
+mod target_server;
 
 pub use behaviour::Behaviour;
 pub use execution::Execution;
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -18,8 +18,7 @@
     SearchRequest, ShardFound, TargetPhase,
 };
 use tokio::{
-    io::{AsyncWriteExt, BufReader},
-    net::{TcpListener, TcpStream},
+    net::TcpListener,
     runtime::Handle,
     sync::watch,
     time::{Instant, sleep},
@@ -27,39 +26,38 @@
 
 use crate::{
     Behaviour, Execution,
-    http_message::{HttpRequest, HttpResponse, read_request},
+    http_message::{HttpRequest, HttpResponse},
     well_records,
 };
 
 const BEHAVIOUR_PATH: &str = "/admin/behaviour";
 const EXECUTIONS_PATH: &str = "/admin/executions";
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 const CANCELLED_KEPT: usize = 1024;
 
 #[derive(Debug)]
-struct Inner {
+pub(crate) struct Inner {
     behaviour: Mutex<Behaviour>,
     incarnation: AtomicU64,
     running: AtomicU64,
     overruns: AtomicU64,
     refused: AtomicU64,
-    connections: AtomicU64,
-    connections_most: AtomicU64,
+    pub(crate) connections: AtomicU64,
+    pub(crate) connections_most: AtomicU64,
     executions: Mutex<Vec<Execution>>,
     cancelled: Mutex<Vec<Cancel>>,
     cancels: watch::Sender<u64>,
     /// Counts crashes; every connection ends when it changes.
-    crashes: watch::Sender<u64>,
+    pub(crate) crashes: watch::Sender<u64>,
     /// Whether the target is away after a crash.
-    away: AtomicBool,
+    pub(crate) away: AtomicBool,
     started: Instant,
 }
 
 /// A running stand-in target; clones share it.
 #[derive(Clone, Debug)]
 pub struct Target {
-    inner: Arc<Inner>,
-    address: SocketAddr,
+    pub(crate) inner: Arc<Inner>,
+    pub(crate) address: SocketAddr,
 }
 
 impl Target {
@@ -181,32 +179,8 @@
         self.inner.crashes.send_modify(|count| *count += 1);
     }
 
-    async fn serve(self, mut listener: TcpListener) {
-        let mut crashes = self.inner.crashes.subscribe();
-        loop {
-            tokio::select! {
-                accepted = listener.accept() => {
-                    match accepted {
-                        Ok((stream, _)) => drop(tokio::spawn(self.clone().connection(stream))),
-                        // Without a pause a lasting error would occupy the thread.
-                        Err(_) => sleep(ACCEPT_PAUSE).await,
-                    }
-                }
-                _ = crashes.changed() => {
-                    drop(listener);
-                    self.stay_away().await;
-                    listener = match rebind(self.address).await {
-                        Some(listener) => listener,
-                        None => return,
-                    };
-                    self.inner.away.store(false, Ordering::SeqCst);
-                }
-            }
-        }
-    }
-
     /// Sleeps as long as a crash lasts, and draws the identifier of the next run.
-    async fn stay_away(&self) {
+    pub(crate) async fn stay_away(&self) {
         sleep(Duration::from_millis(self.behaviour().crash_ms)).await;
         self.inner.incarnation.store(fastrand::u64(1..), Ordering::SeqCst);
     }
@@ -219,46 +193,7 @@
         }
     }
 
-    async fn connection(self, mut stream: TcpStream) {
-        let _open = Connected::begin(&self.inner);
-        let mut crashes = self.inner.crashes.subscribe();
-        let _ = stream.set_nodelay(true);
-        let delay = self.behaviour().connect_us;
-        if delay > 0 {
-            sleep(Duration::from_micros(delay)).await;
-        }
-        tokio::select! {
-            _ = self.exchanges(&mut stream) => {}
-            _ = crashes.changed() => {
-                // A crash resets connections rather than closing them in order.
-                let _ = stream.set_zero_linger();
-            }
-        }
-    }
-
-    async fn exchanges(&self, stream: &mut TcpStream) -> Option<()> {
-        let mut stream = BufReader::new(stream);
-        loop {
-            let request = read_request(&mut stream).await?;
-            let response = self.respond(request).await;
-            let text = format!(
-                "HTTP/1.1 {} x\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
-                response.status,
-                response.body.len()
-            );
-            let mut bytes = text.into_bytes();
-            bytes.extend_from_slice(&response.body);
-            if response.truncated {
-                bytes.truncate(bytes.len() - response.body.len() / 2);
-            }
-            stream.get_mut().write_all(&bytes).await.ok()?;
-            if response.truncated {
-                return None;
-            }
-        }
-    }
-
-    async fn respond(&self, request: HttpRequest) -> HttpResponse {
+    pub(crate) async fn respond(&self, request: HttpRequest) -> HttpResponse {
         match request.path.as_str() {
             SEARCH_PATH => match serde_json::from_slice(&request.body) {
                 Ok(search) => self.search(search).await,
@@ -410,22 +345,6 @@
     }
 }
 
-struct Connected<'a>(&'a Inner);
-
-impl<'a> Connected<'a> {
-    fn begin(inner: &'a Inner) -> Self {
-        let open = inner.connections.fetch_add(1, Ordering::SeqCst) + 1;
-        inner.connections_most.fetch_max(open, Ordering::SeqCst);
-        Self(inner)
-    }
-}
-
-impl Drop for Connected<'_> {
-    fn drop(&mut self) {
-        self.0.connections.fetch_sub(1, Ordering::SeqCst);
-    }
-}
-
 struct Running<'a>(&'a Inner);
 
 impl<'a> Running<'a> {
@@ -445,18 +364,3 @@
         self.0.running.fetch_sub(1, Ordering::SeqCst);
     }
 }
-
-async fn rebind(address: SocketAddr) -> Option<TcpListener> {
-    const TRIES: u32 = 200;
-    for _ in 0..TRIES {
-        let socket = tokio::net::TcpSocket::new_v4().ok()?;
-        socket.set_reuseaddr(true).ok()?;
-        if socket.bind(address).is_ok()
-            && let Ok(listener) = socket.listen(1024)
-        {
-            return Some(listener);
-        }
-        sleep(Duration::from_millis(25)).await;
-    }
-    None
-}
