--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -299,6 +299,10 @@
         let factor = if slow { behaviour.slow_factor } else { 1.0 };
         // Uniform around the mean, so that a quantile is worth learning.
         let micros = behaviour.service_us as f64 * factor * (0.5 + fastrand::f64());
+        if micros == 0.0 {
+            // A timer would wait for its next step, up to a millisecond later.
+            return true;
+        }
         let end = Instant::now() + Duration::from_micros(micros as u64);
         loop {
             if self.is_cancelled(search) {
