Do not count work that a target stopped as told as a failure

Cause: a cancelled search ends with any status (docs/TARGETS.md), and the relay judged that as a broken reply. Three cancellations in a row, usual under overload where one service's refusal decides a query, ejected sound replicas of the other services for seconds. Test cancelled_work_ejects_no_replica failed first, with four ejections at two sound replicas. Failed try: counting no stopped attempt at all, but learning its time as a latency. So an attempt that was stopped later than a sound replica takes (1.5 times its 95th percentile) counts as a failure, an earlier one as nothing.

--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -31,6 +31,11 @@
         if self.limits.hedge_percent <= 0.0 {
             return None;
         }
+        self.late_after()
+    }
+
+    /// Returns the time after which an attempt at a sound replica would have ended.
+    pub(crate) fn late_after(&self) -> Option<Duration> {
         // The quantile over all replicas would grow with the share of a slow one.
         let known = |replica: &&Replica| replica.latency.len() >= HEDGE_SAMPLES_MIN;
         self.replicas
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -251,6 +251,13 @@
         if let Finish::Answered(latency) = finish {
             self.latency.add(latency);
         }
+        let finish = match finish {
+            // Whoever stopped it had waited longer than a sound replica takes.
+            Finish::Stopped(ran_for) if self.late_after().is_some_and(|late| ran_for >= late) => {
+                Finish::Failed
+            }
+            other => other,
+        };
         if let Ok(at) = self.find(address) {
             if self.replicas[at].take_finish(now, finish, self.limits.slots) {
                 self.ejected.push(address);
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -243,7 +243,7 @@
                 self.sheds += 1;
                 self.shed_until = Some(now + pause);
             }
-            Finish::NotRun | Finish::Cancelled => {}
+            Finish::NotRun | Finish::Cancelled | Finish::Stopped(_) => {}
         }
         false
     }
--- a/crates/policy/src/work.rs
+++ b/crates/policy/src/work.rs
@@ -79,6 +79,8 @@
     NotRun,
     /// The connection could not be opened or broke.
     Lost,
-    /// The attempt was cancelled.
+    /// The attempt was cancelled, and nothing is known of how it went.
     Cancelled,
+    /// The target stopped the attempt as it was told, after this time.
+    Stopped(Duration),
 }
--- a/crates/policy/tests/scenarios.rs
+++ b/crates/policy/tests/scenarios.rs
@@ -126,6 +126,7 @@
                 "shed" => Finish::Shed,
                 "lost" => Finish::Lost,
                 "cancelled" => Finish::Cancelled,
+                "stopped" => Finish::Stopped(Duration::from_millis(case.take_arg("after").unwrap())),
                 other => panic!("unknown kind {other}"),
             },
         };
--- a/crates/proofs/src/inside/world.rs
+++ b/crates/proofs/src/inside/world.rs
@@ -6,9 +6,9 @@
 use egret_agent::Agent;
 use egret_conf::{Config, Head, HostList};
 use egret_entry::Entry;
-use egret_events::{Clock, Journal};
+use egret_events::{Clock, Event, Journal};
 use egret_model::{DataCentre, HostName};
-use egret_node::{Exchange, Follower};
+use egret_node::{Exchange, Follower, Ops};
 use egret_relay::Relay;
 use egret_standin::{Execution, Platform, Target, publish_config, publish_hosts};
 use egret_wire::{QueryAnswer, QueryRequest};
@@ -128,11 +128,7 @@
 
     /// Lets a daemon say that it leaves, as at the start of its shutdown.
     pub fn drain(&self, host: usize, role: Role) {
-        match &self.daemon(host, role).handle {
-            DaemonHandle::Agent(agent) => agent.ops().leave(),
-            DaemonHandle::Relay(relay) => relay.ops().leave(),
-            DaemonHandle::Entry(entry) => entry.ops().leave(),
-        }
+        self.ops(host, role).leave();
     }
 
     /// Cuts hosts off from all others; no hosts ends the cut.
@@ -195,6 +191,12 @@
         self.targets.iter().flatten().flat_map(Target::executions).collect()
     }
 
+    /// Returns the events that one daemon kept, oldest first.
+    #[must_use]
+    pub fn events(&self, host: usize, role: Role) -> Vec<Event> {
+        self.ops(host, role).journal.events()
+    }
+
     /// Sends a query to one entry, as a caller.
     ///
     /// # Errors
@@ -260,6 +262,14 @@
         self.daemons[host][index(role)].as_ref().expect("every daemon was started")
     }
 
+    fn ops(&self, host: usize, role: Role) -> &Ops {
+        match &self.daemon(host, role).handle {
+            DaemonHandle::Agent(agent) => agent.ops(),
+            DaemonHandle::Relay(relay) => relay.ops(),
+            DaemonHandle::Entry(entry) => entry.ops(),
+        }
+    }
+
     fn place(&self, host: usize, role: Role) -> &Place {
         &self.daemon(host, role).place
     }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -41,6 +41,17 @@
     BadReply,
     /// The time ended.
     Deadline,
+    /// The target stopped it, because nobody waited any more.
+    Stopped,
+}
+
+/// Why an attempt was cancelled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cancelled {
+    /// Its time ended.
+    Late,
+    /// Nobody waits for it any more.
+    Unwanted,
 }
 
 /// Starts an attempt; dropping the receiver cancels it.
@@ -76,15 +87,18 @@
     let ended = tokio::select! {
         // A reply that is there counts, also at the very end.
         biased;
-        ended = &mut exchange => Some(ended),
-        () = tokio::time::sleep_until(cx.deadline.into()) => None,
-        () = tx.closed() => None,
+        ended = &mut exchange => Ok(ended),
+        () = tokio::time::sleep_until(cx.deadline.into()) => Err(Cancelled::Late),
+        () = tx.closed() => Err(Cancelled::Unwanted),
+    };
+    let cancelled = match ended {
+        Ok(ended) => {
+            let end = settle(&cx, slot, &request, started, ended, None);
+            let _ = tx.send(end);
+            return;
+        }
+        Err(cancelled) => cancelled,
     };
-    if let Some(ended) = ended {
-        let end = settle(&cx, slot, &request, started, ended);
-        let _ = tx.send(end);
-        return;
-    }
     let _ = tx.send(AttemptEnd::Deadline);
     cx.relay.journal().record(Code::TargetCancelled, cx.query, format!("{} at {address}", cx.describe()));
     let cancel = Cancel { query: request.query, origin: request.origin, attempt: request.attempt };
@@ -94,7 +108,7 @@
     );
     match ended {
         Ok(ended) => {
-            settle(&cx, slot, &request, started, ended);
+            settle(&cx, slot, &request, started, ended, Some(cancelled));
         }
         Err(_) => {
             cx.ledger.ended(Ran::Unknown);
@@ -111,10 +125,18 @@
     request: &SearchRequest,
     started: Instant,
     ended: Result<Exchange, ExchangeError>,
+    cancelled: Option<Cancelled>,
 ) -> AttemptEnd {
     let address = slot.address();
     let (end, ran, finish) = match ended {
-        Ok(exchange) => judge(cx, &slot, request, started, &exchange),
+        Ok(exchange) => match judge(cx, &slot, request, started, &exchange) {
+            // The target did as it was told, and may do it with any status.
+            (AttemptEnd::BadReply, ran, _) if cancelled == Some(Cancelled::Unwanted) => {
+                let ran_for = now().saturating_duration_since(started);
+                (AttemptEnd::Stopped, ran, Finish::Stopped(ran_for))
+            }
+            judged => judged,
+        },
         Err(error) if error.is_not_sent() => (AttemptEnd::NotSent, Ran::No, Finish::Lost),
         Err(ExchangeError::Timeout { .. }) => (AttemptEnd::Deadline, Ran::Unknown, Finish::Failed),
         Err(_) => {
@@ -227,6 +249,7 @@
             Self::Broken => "broken",
             Self::BadReply => "bad-reply",
             Self::Deadline => "deadline",
+            Self::Stopped => "stopped",
         }
     }
 }
--- a/crates/relay/src/cell.rs
+++ b/crates/relay/src/cell.rs
@@ -109,6 +109,7 @@
             miss = match end {
                 AttemptEnd::Found(hits) => return Ok(hits),
                 AttemptEnd::Deadline => return Err(MissCause::Deadline.into()),
+                AttemptEnd::Stopped => return Err(MissCause::Cancelled.into()),
                 AttemptEnd::NotSent => MissCause::NoLiveReplica.into(),
                 AttemptEnd::NotRun(reason) => CellMiss::from(cause_of(reason)),
                 AttemptEnd::Broken => MissCause::BrokenConnection.into(),
@@ -199,7 +200,7 @@
             return false;
         }
         match end {
-            AttemptEnd::Found(_) | AttemptEnd::Deadline => false,
+            AttemptEnd::Found(_) | AttemptEnd::Deadline | AttemptEnd::Stopped => false,
             AttemptEnd::NotSent => true,
             AttemptEnd::NotRun(NotRunReason::Busy) => self.service.may_retry(),
             AttemptEnd::NotRun(NotRunReason::Expired) => false,
