Ask relays whether they would refuse a query before any part of it runs

Cause: a query over several relays was refused by the one without room while the others had begun: copies were spent in vain and the refusal said ran: unknown, which is useless to a caller of non-idempotent work. Ruled out: waiting for the relays' word after the decision (the copies are spent already) and reserving (copies idle; docs/DESIGN.md, "Preflight").

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -12,7 +12,7 @@
     SnapshotShards, Version,
 };
 use egret_node::{ExchangeError, Follower, HttpClient, Ops, View, new_incarnation, new_query_id};
-use egret_policy::{PauseDetector, RelayHealth, Suspects};
+use egret_policy::{Contention, PauseDetector, RelayHealth, Suspects};
 use egret_wire::{QueryRequest, READY_PATH};
 use tokio::runtime::Handle;
 
@@ -50,6 +50,7 @@
     observed: Mutex<Observed>,
     relays: Mutex<RelayHealth>,
     suspects: Mutex<Suspects>,
+    contention: Mutex<Contention>,
 }
 
 impl Entry {
@@ -69,6 +70,7 @@
             observed: Mutex::default(),
             relays: Mutex::default(),
             suspects: Mutex::default(),
+            contention: Mutex::default(),
         };
         let entry = Self { inner: Arc::new(inner) };
         tokio::spawn(entry.clone().follow());
@@ -133,6 +135,9 @@
         let view = self.inner.follower.view();
         let mut plan = self.plan(&view, query, request, started)?;
         self.refuse_poison(plan.fingerprint)?;
+        if let Some(refused) = Gatherer::new(self, Arc::clone(&view), &plan).preflight().await {
+            return Ok((plan, refused));
+        }
         let (mut attempts, mut needed, mut ran) = (0, 0, Ran::No);
         for number in 1.. {
             let mut gathered = Gatherer::new(self, Arc::clone(&view), &plan).gather().await;
@@ -279,6 +284,15 @@
         self.observed().learn(now(), service, held);
     }
 
+    /// Notes that a service refused work for lack of slots.
+    pub(crate) fn contended(&self, service: &ServiceName) {
+        self.contention().refused(now(), service);
+    }
+
+    pub(crate) fn is_contended(&self, service: &ServiceName) -> bool {
+        self.contention().is_contended(now(), service)
+    }
+
     pub(crate) fn mark(&self, fingerprint: Fingerprint) -> Option<Mark> {
         self.suspects().told(now(), fingerprint)
     }
@@ -301,6 +315,10 @@
         self.inner.suspects.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn contention(&self) -> MutexGuard<'_, Contention> {
+        self.inner.contention.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     async fn follow(self) {
         let follower = self.inner.follower.clone();
         follower.for_each(|view| self.configure(view)).await;
@@ -311,6 +329,7 @@
         relays.sort_unstable();
         self.relays().retain(&relays);
         self.observed().retain(|service| view.config.service(service).is_some());
+        self.contention().retain(|service| view.config.service(service).is_some());
         self.inner.instruments.version.record(view.config.version().0, &[]);
         self.inner.ops.set_ready(true);
     }
--- a/crates/entry/src/gather.rs
+++ b/crates/entry/src/gather.rs
@@ -55,8 +55,8 @@
 }
 
 /// Parts with the candidate to ask next.
-struct Routed {
-    relay: SocketAddr,
+pub(crate) struct Routed {
+    pub(crate) relay: SocketAddr,
     candidate: usize,
     parts: Vec<PlannedPart>,
     /// The later candidates of each part.
@@ -71,10 +71,10 @@
 }
 
 pub(crate) struct Gatherer<'a> {
-    entry: &'a Entry,
+    pub(crate) entry: &'a Entry,
     view: Arc<View>,
-    plan: &'a Plan,
-    gathered: Gathered,
+    pub(crate) plan: &'a Plan,
+    pub(crate) gathered: Gathered,
     running: FuturesUnordered<BoxFuture<'a, Sent>>,
     pending: Vec<ShardId>,
 }
@@ -96,9 +96,8 @@
         self.send(self.plan.parts.clone(), 0);
         let mut cause = MissCause::Deadline;
         loop {
-            if self.gathered.coverage.missing().len() > self.plan.allowed_misses() {
+            if self.is_decided() {
                 cause = MissCause::Cancelled;
-                self.gathered.decided_early = true;
                 break;
             }
             tokio::select! {
@@ -114,6 +113,17 @@
             // Messages are on their way, and nobody said what became of them.
             self.gathered.ran = self.gathered.ran.and(Ran::Unknown);
         }
+        self.end(cause)
+    }
+
+    /// Tells whether the minimum coverage cannot be reached any more.
+    pub(crate) fn is_decided(&self) -> bool {
+        self.gathered.coverage.missing().len() > self.plan.allowed_misses()
+    }
+
+    /// Counts all pending shards as missing and returns what was gathered.
+    pub(crate) fn end(mut self, cause: MissCause) -> Gathered {
+        self.gathered.decided_early = self.is_decided();
         for shard in std::mem::take(&mut self.pending) {
             self.gathered.coverage.miss(shard, cause);
         }
@@ -130,7 +140,7 @@
     }
 
     /// Groups parts by relay, so that each relay gets one message.
-    fn route(&mut self, parts: Vec<PlannedPart>, from: usize) -> Vec<Routed> {
+    pub(crate) fn route(&mut self, parts: Vec<PlannedPart>, from: usize) -> Vec<Routed> {
         let mut routes: Vec<Routed> = Vec::new();
         for part in parts {
             let Some((relay, candidate)) = self.choose_relay(&part, from) else {
@@ -173,7 +183,7 @@
         block.candidates().iter().skip(candidate + 1).map(|other| other.relay).collect()
     }
 
-    fn scatter(&self, routed: &Routed) -> Scatter {
+    pub(crate) fn scatter(&self, routed: &Routed) -> Scatter {
         let plan = self.plan;
         let left = plan.deadline.saturating_duration_since(now()).saturating_sub(RELAY_MARGIN);
         let missing = self.gathered.coverage.missing().len();
@@ -215,7 +225,7 @@
         }
     }
 
-    fn belongs(&self, reply: &ScatterReply) -> bool {
+    pub(crate) fn belongs(&self, reply: &ScatterReply) -> bool {
         reply.query == self.plan.query
             && reply.origin == self.entry.incarnation()
             && reply.snapshot == self.plan.snapshot
@@ -255,6 +265,7 @@
                 continue;
             }
             self.entry.observe(&part.service, part.held.clone());
+            self.note_contention(part);
             self.take_part(&planned, part);
         }
         if !elsewhere.is_empty() {
@@ -262,6 +273,14 @@
         }
     }
 
+    /// Remembers a service that refused work for lack of slots.
+    pub(crate) fn note_contention(&self, part: &PartReply) {
+        let is_full = |cause| matches!(cause, MissCause::Overload | MissCause::Shed);
+        if part.missing.iter().any(|miss| is_full(miss.cause)) {
+            self.entry.contended(&part.service);
+        }
+    }
+
     /// Merges one part; only shards that the plan asked of it count.
     fn take_part(&mut self, planned: &PlannedPart, part: &PartReply) {
         let asked = |shard: &ShardName| planned.part.shards.binary_search(shard).is_ok();
@@ -288,7 +307,7 @@
         }
     }
 
-    fn miss(&mut self, shards: impl IntoIterator<Item = ShardId>, cause: MissCause) {
+    pub(crate) fn miss(&mut self, shards: impl IntoIterator<Item = ShardId>, cause: MissCause) {
         for shard in shards {
             self.settle(&shard);
             self.gathered.coverage.miss(shard, cause);
@@ -327,13 +346,13 @@
     Sent { relay: routed.relay, candidate: routed.candidate, parts: routed.parts, result }
 }
 
-fn is_not_owner(part: &PartReply) -> bool {
+pub(crate) fn is_not_owner(part: &PartReply) -> bool {
     part.covered.is_empty()
         && !part.missing.is_empty()
         && part.missing.iter().all(|miss| miss.cause == MissCause::NotOwner)
 }
 
-fn shard_id(service: &ServiceName, shard: &ShardName) -> ShardId {
+pub(crate) fn shard_id(service: &ServiceName, shard: &ShardName) -> ShardId {
     ShardId { service: service.clone(), shard: shard.clone() }
 }
 
--- a/crates/entry/src/instruments.rs
+++ b/crates/entry/src/instruments.rs
@@ -15,6 +15,7 @@
     pub(crate) covered: Counter<u64>,
     pub(crate) missing: Counter<u64>,
     pub(crate) scatters: Counter<u64>,
+    pub(crate) preflights: Counter<u64>,
     pub(crate) version: Gauge<u64>,
 }
 
@@ -29,6 +30,8 @@
             covered: metrics.counter("shards_covered", "Shards covered by answers."),
             missing: metrics.counter("shards_missing", "Shards missing from answers."),
             scatters: metrics.counter("scatter_messages", "Messages sent to relays."),
+            preflights: metrics
+                .counter("preflight_messages", "Questions to relays whether they would refuse."),
             version: metrics.gauge("config_version", "Version of the configuration in force."),
         }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -30,6 +30,7 @@
 mod options;
 mod outcome;
 mod plan;
+mod preflight;
 mod silence;
 mod tickets;
 
--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -66,6 +66,8 @@
     TicketForwarded = 307, "ticket forwarded";
     /// A reply did not belong to a pending request and was dropped.
     ForeignReply = 308, "foreign reply dropped";
+    /// A query was refused before any part of it was sent to run.
+    PreflightRefused = 309, "preflight refused";
     /// A relay received a part of a query.
     ScatterReceived = 400, "received by relay";
     /// A sub-request was sent to a target.
@@ -121,7 +123,7 @@
     /// Tells whether the event belongs to a single query and is frequent.
     #[must_use]
     pub fn is_per_query(self) -> bool {
-        matches!(self.number(), 300..=303 | 306..=308 | 400..=407)
+        matches!(self.number(), 300..=303 | 306..=309 | 400..=407)
     }
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -32,6 +32,7 @@
 //! - [`Suspects`]: requests that break the targets that run them.
 //! - [`candidates`]: the relays that may own a block's connections.
 //! - [`choose_snapshot`]: the one snapshot that a query is drawn from.
+//! - [`Contention`]: services that lately refused work for lack of slots.
 //! - [`RelayHealth`], [`PauseDetector`]: what a process believes after silence.
 //!
 //! docs/DESIGN.md says for each what was weighed.
@@ -39,6 +40,7 @@
 mod admission;
 mod baseline;
 mod choice;
+mod contention;
 mod dispatcher;
 mod latency;
 mod leaving_sign;
@@ -55,6 +57,7 @@
 mod work;
 
 pub use baseline::{Baseline, BaselineError};
+pub use contention::Contention;
 pub use dispatcher::{Dispatcher, Limits};
 pub use latency::LatencyWindow;
 pub use leaving_sign::LeavingSign;
--- a/crates/proofs/tests/cancelled.rs
+++ b/crates/proofs/tests/cancelled.rs
@@ -4,10 +4,11 @@
 
 use egret_client::Query;
 use egret_events::Code;
+use egret_model::{Ran, RefusalKind};
 use egret_proofs::{Outcome, Role, Shape, World, body};
 use egret_standin::Behaviour;
 use egret_wire::QueryRequest;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 const READY_AFTER: Duration = Duration::from_secs(3);
 
@@ -52,3 +53,76 @@
         .collect();
     assert!(ejected.is_empty(), "{ejected:?}");
 }
+
+/// Keeps every slot and the queue of the second service busy for a while.
+async fn fill_second_service(world: &World) {
+    for number in 0..200 {
+        let request = Query::service("desk-01", "lookup", &body(number)).unwrap().request().clone();
+        let caller = world.caller();
+        tokio::spawn(async move { caller.query(0, &request).await });
+    }
+    sleep(Duration::from_millis(10)).await;
+}
+
+/// Returns the owners of the two services, as the relays' events show them.
+fn owners(world: &World) -> Vec<usize> {
+    let is_owner = |host: &usize| {
+        let events = world.events(*host, Role::Relay);
+        events.iter().any(|event| event.code == Code::TargetSent)
+    };
+    (0..world.versions().len()).filter(is_owner).collect()
+}
+
+fn runs_of(world: &World, mark: &str) -> usize {
+    world.executions().iter().filter(|execution| execution.body.contains(mark)).count()
+}
+
+/// Starts two services that different relays own, so that no relay alone decides a query.
+async fn start_with_two_owners() -> World {
+    let world = start(strict(4)).await;
+    for number in 0..8 {
+        world.query(0, &lookup(number)).await.unwrap();
+    }
+    assert_eq!(owners(&world).len(), 2, "both services have one owner");
+    world
+}
+
+/// One service cannot take a bid: the other must not run it, and the refusal can say so.
+#[tokio::test(start_paused = true)]
+async fn a_bid_that_one_service_refuses_runs_at_none() {
+    let world = start_with_two_owners().await;
+    fill_second_service(&world).await;
+    let ticket = world.caller().ticket(0).await.unwrap().ticket;
+    let bid = Query::group("desk", "lookup", r#"{"mark":"bid-1"}"#).unwrap().non_idempotent().ticket(&ticket);
+    let Err(Outcome::Refused(refusal)) = world.query(0, bid.request()).await else {
+        panic!("the second service had room");
+    };
+    assert_eq!((refusal.kind, refusal.ran), (RefusalKind::Overload, Ran::No), "{refusal:?}");
+    assert!(refusal.retry_after_ms.is_some() && refusal.ticket.is_some(), "{refusal:?}");
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(runs_of(&world, "bid-1"), 0);
+}
+
+/// After the first refusal no further query spends copies of the other service in vain.
+#[tokio::test(start_paused = true)]
+async fn queries_that_one_contended_service_refuses_spend_nothing_at_others() {
+    let world = start_with_two_owners().await;
+    fill_second_service(&world).await;
+    let mut refused = Vec::new();
+    for number in 0..4 {
+        let mark = format!("query-{number}.");
+        let query = Query::group("desk", "lookup", &format!(r#"{{"mark":"{mark}"}}"#)).unwrap();
+        let started = Instant::now();
+        // A slot becomes free every 10 ms, and the last query may get it.
+        let Err(Outcome::Refused(refusal)) = world.query(0, query.request()).await else { continue };
+        assert_eq!(refusal.kind, RefusalKind::Overload, "{refusal:?}");
+        assert!(started.elapsed() < Duration::from_millis(20), "held for {:?}", started.elapsed());
+        refused.push((mark, refusal));
+    }
+    assert!(refused.len() >= 3, "only {} of 4 were refused", refused.len());
+    sleep(Duration::from_secs(5)).await;
+    for (mark, refusal) in &refused[1..] {
+        assert_eq!(refusal.ran, Ran::No, "{mark}: {refusal:?}");
+        assert_eq!(runs_of(&world, mark), 0, "{mark} was refused as not run");
+    }
+}
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -90,6 +90,12 @@
         scatter::answer(self, scatter).await
     }
 
+    /// Tells which parts of a query would be refused now, without running any.
+    #[must_use]
+    pub fn preflight(&self, scatter: &Scatter) -> ScatterReply {
+        scatter::preflight(self, scatter)
+    }
+
     /// Takes in what another process knows of a request.
     pub fn learn(&self, mark: Mark) {
         self.suspects().learn(now(), mark);
--- a/crates/relay/src/scatter.rs
+++ b/crates/relay/src/scatter.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use egret_events::Code;
+use egret_events::{Code, Stamp};
 use egret_model::{MissCause, ServiceName, ShardName};
 use egret_policy::Held;
 use egret_wire::{PartMiss, PartReply, Scatter, ScatterPart, ScatterReply, ShardHits};
@@ -41,6 +41,15 @@
 }
 
 impl Gathering {
+    fn begin(scatter: &Scatter) -> Self {
+        Self {
+            parts: scatter.parts.iter().map(empty_part).collect(),
+            allowed_misses: scatter.allowed_misses as usize,
+            misses: 0,
+            retry_after: None,
+        }
+    }
+
     fn miss(&mut self, part: usize, shards: impl IntoIterator<Item = ShardName>, miss: CellMiss) {
         let missing = &mut self.parts[part].missing;
         let before = missing.len();
@@ -65,34 +74,59 @@
 /// Runs all parts of a message and answers when they ended, when the minimum
 /// coverage cannot be reached any more, or when the time ends.
 pub(crate) async fn answer(relay: &Relay, scatter: Scatter) -> ScatterReply {
-    let received = now();
+    let deadline = deadline_of(&scatter);
     relay.journal().clock().observe(scatter.stamp);
     relay.journal().record(Code::ScatterReceived, scatter.query, format!("{} parts", scatter.parts.len()));
     scatter.mark.into_iter().for_each(|mark| relay.learn(mark));
-    let budget = Duration::from_millis(u64::from(scatter.budget_ms)).saturating_sub(REPLY_MARGIN);
-    let deadline = received + budget;
     let ledger = Arc::new(Ledger::default());
-    let mut gathering = Gathering {
-        parts: scatter.parts.iter().map(empty_part).collect(),
-        allowed_misses: scatter.allowed_misses as usize,
-        misses: 0,
-        retry_after: None,
-    };
+    let mut gathering = Gathering::begin(&scatter);
     let cells = cells(relay, &scatter, deadline, &ledger, &mut gathering);
     let needed = cells.len() as u32;
     let cells = if is_refused_ahead(&cells, &gathering) { refuse_all(cells, &mut gathering) } else { cells };
     gather(cells, deadline, &mut gathering).await;
+    let detail = format!("{} missing", gathering.misses);
+    let stamp = relay.journal().record(Code::ScatterReplied, scatter.query, detail);
+    reply(relay, &scatter, gathering, &ledger, needed, stamp)
+}
+
+/// Tells which parts of a message would be refused now, without taking or sending anything.
+pub(crate) fn preflight(relay: &Relay, scatter: &Scatter) -> ScatterReply {
+    relay.journal().clock().observe(scatter.stamp);
+    let ledger = Arc::new(Ledger::default());
+    let mut gathering = Gathering::begin(scatter);
+    let cells = cells(relay, scatter, deadline_of(scatter), &ledger, &mut gathering);
+    for (part, cell) in &cells {
+        if let Some(miss) = cell.would_refuse() {
+            gathering.miss(*part, cell.shards.iter().cloned(), miss);
+        }
+    }
+    let stamp = relay.journal().clock().tick();
+    reply(relay, scatter, gathering, &ledger, cells.len() as u32, stamp)
+}
+
+fn deadline_of(scatter: &Scatter) -> Instant {
+    let budget = Duration::from_millis(u64::from(scatter.budget_ms));
+    now() + budget.saturating_sub(REPLY_MARGIN)
+}
+
+fn reply(
+    relay: &Relay,
+    scatter: &Scatter,
+    mut gathering: Gathering,
+    ledger: &Ledger,
+    needed: u32,
+    stamp: Stamp,
+) -> ScatterReply {
     for part in &mut gathering.parts {
         part.covered.sort_by(|a, b| a.shard.cmp(&b.shard));
         part.missing.sort();
         part.missing.iter().for_each(|miss| relay.instruments().misses(miss.cause, 1));
         part.held = relay.service(&part.service).map(|state| state.held_shards(now())).unwrap_or_default();
     }
-    let detail = format!("{} missing", gathering.misses);
     ScatterReply {
         query: scatter.query,
         origin: scatter.origin,
-        stamp: relay.journal().record(Code::ScatterReplied, scatter.query, detail),
+        stamp,
         snapshot: scatter.snapshot,
         ran: ledger.ran(),
         mark: relay.mark_of(scatter.fingerprint),
--- a/crates/relay/src/site.rs
+++ b/crates/relay/src/site.rs
@@ -1,7 +1,7 @@
 //! The relay's HTTP interface.
 
 use egret_node::{Call, Reply, Site};
-use egret_wire::{NOTICE_PATH, Notice, SCATTER_PATH, Scatter, decode};
+use egret_wire::{NOTICE_PATH, Notice, PREFLIGHT_PATH, SCATTER_PATH, Scatter, decode};
 
 use crate::{Relay, notices};
 
@@ -27,6 +27,10 @@
                 Ok(scatter) => Reply::packed(&self.relay.answer(scatter).await),
                 Err(error) => Reply::text(400, format!("{error}\n")),
             },
+            PREFLIGHT_PATH => match decode::<Scatter>(&call.body) {
+                Ok(scatter) => Reply::packed(&self.relay.preflight(&scatter)),
+                Err(error) => Reply::text(400, format!("{error}\n")),
+            },
             NOTICE_PATH => match decode::<Notice>(&call.body) {
                 Ok(notice) => {
                     notices::learn(&self.relay, &notice);
--- a/crates/wire/src/paths.rs
+++ b/crates/wire/src/paths.rs
@@ -22,6 +22,8 @@
 
 /// Entries send parts of queries to relays here.
 pub const SCATTER_PATH: &str = "/internal/scatter";
+/// Entries ask relays here whether they would refuse parts of a query, without running any.
+pub const PREFLIGHT_PATH: &str = "/internal/preflight";
 /// Entries pass requests with a ticket to the entry that minted it here.
 pub const FORWARD_PATH: &str = "/internal/forward";
 /// Relays tell each other what only one of them has seen here.
