Draw a block's candidates from several data centres

Cause: the three best relays by hash could all stand in one data centre, which with replicas in two happens to a quarter of the blocks. Its loss took the block, although replicas lived on elsewhere. Nothing cut data centres off with their targets, so no test saw it.

--- a/crates/policy/src/owner.rs
+++ b/crates/policy/src/owner.rs
@@ -23,10 +23,29 @@
 ///
 /// Rendezvous hashing moves only the blocks of a host that comes or goes.
 /// Relays in a data centre of the block's replicas go before all others, so that
-/// the last hop stays short; `data_centres` must be sorted. The first candidate
-/// that lives owns the block.
+/// the last hop stays short; `data_centres` must be sorted. They are drawn from as
+/// many of these data centres as there are, because the loss of one data centre must
+/// not take all candidates of a block whose replicas live on elsewhere. The first
+/// candidate that lives owns the block.
 #[must_use]
 pub fn candidates(block: &BlockName, data_centres: &[DataCentre], hosts: &[RelayHost]) -> Vec<RelayHost> {
+    let ranked = ranked(block, data_centres, hosts);
+    let mut chosen: Vec<usize> = Vec::with_capacity(CANDIDATES);
+    for (at, host) in ranked.iter().enumerate() {
+        let is_near = data_centres.binary_search(&host.data_centre).is_ok();
+        let is_new = chosen.iter().all(|&other| ranked[other].data_centre != host.data_centre);
+        if is_near && is_new && chosen.len() < CANDIDATES {
+            chosen.push(at);
+        }
+    }
+    let others: Vec<usize> = (0..ranked.len()).filter(|at| !chosen.contains(at)).collect();
+    chosen.extend(others.into_iter().take(CANDIDATES - chosen.len()));
+    chosen.sort_unstable();
+    chosen.into_iter().map(|at| ranked[at].clone()).collect()
+}
+
+/// Orders hosts for a block: those near its replicas first, each group by its hash.
+fn ranked<'a>(block: &BlockName, data_centres: &[DataCentre], hosts: &'a [RelayHost]) -> Vec<&'a RelayHost> {
     let seed = xxh3_64_with_seed(block.as_str().as_bytes(), 0);
     let mut scored: Vec<(bool, u64, &RelayHost)> = hosts
         .iter()
@@ -36,5 +55,5 @@
         })
         .collect();
     scored.sort_by(|a, b| (b.0, b.1, &b.2.host).cmp(&(a.0, a.1, &a.2.host)));
-    scored.into_iter().take(CANDIDATES).map(|(_, _, host)| host.clone()).collect()
+    scored.into_iter().map(|(_, _, host)| host).collect()
 }
--- a/crates/proofs/src/inside/route.rs
+++ b/crates/proofs/src/inside/route.rs
@@ -32,15 +32,22 @@
 pub(crate) struct Place {
     /// The entry host's number; `None` for callers, targets and the platform.
     pub(crate) host: Option<usize>,
+    /// The number of its data centre; `None` for callers and the platform.
+    pub(crate) data_centre: Option<usize>,
     killed: watch::Sender<bool>,
     paused: watch::Sender<bool>,
     cut_from_platform: Arc<AtomicBool>,
 }
 
 impl Place {
-    pub(crate) fn new(host: Option<usize>) -> Self {
+    pub(crate) fn new(host: Option<usize>, data_centre: Option<usize>) -> Self {
         let (killed, paused) = (watch::Sender::new(false), watch::Sender::new(false));
-        Self { host, killed, paused, cut_from_platform: Arc::default() }
+        Self { host, data_centre, killed, paused, cut_from_platform: Arc::default() }
+    }
+
+    /// Creates a place that every process reaches.
+    pub(crate) fn outside() -> Self {
+        Self::new(None, None)
     }
 
     pub(crate) fn kill(&self) {
--- a/crates/proofs/tests/scenarios.rs
+++ b/crates/proofs/tests/scenarios.rs
@@ -46,6 +46,7 @@
             "start" => self.start(case),
             "start-daemon" | "kill" | "pause" | "resume" | "drain" => self.daemon(case),
             "part" => self.part(case),
+            "cut" => self.cut(case),
             "cut-from-platform" => self.cut_from_platform(case),
             "jitter" => self.jitter(case),
             "platform" => self.platform(case),
@@ -126,6 +127,13 @@
         "ok\n".to_owned()
     }
 
+    /// `cut data-centres=(0)`: with their targets; without data centres the cut ends.
+    fn cut(&mut self, case: &mut TestCase) -> String {
+        let cut = case.try_take_args("data-centres").unwrap().unwrap_or_default();
+        self.world().cut_data_centres(cut);
+        "ok\n".to_owned()
+    }
+
     /// `cut-from-platform hosts=(1)`; without hosts all agents reach it again.
     fn cut_from_platform(&mut self, case: &mut TestCase) -> String {
         self.world().cut_from_platform(&hosts(case));
