Measure both users' services of today, with delays between data centres

Cause: the bench knew only services of one or two parts, without delays, so the shapes that the users run (one service over 5 to 20 replicas) were not measured. The list of data centres stood twice in the test code and now stands once.

--- a/crates/proofs/examples/bench/main.rs
+++ b/crates/proofs/examples/bench/main.rs
@@ -7,11 +7,12 @@
 mod cases;
 mod faults;
 mod row;
+mod sites;
 mod slopes;
 
 use row::Row;
 
-const CASES: [&str; 15] = [
+const CASES: [&str; 16] = [
     "cold",
     "idle",
     "calm",
@@ -25,6 +26,7 @@
     "shedding",
     "rolling",
     "crashing",
+    "sites",
     "slopes",
     "bytes",
 ];
@@ -64,6 +66,7 @@
             "shedding" => faults::shedding().await,
             "rolling" => faults::rolling().await,
             "crashing" => faults::crashing().await,
+            "sites" => sites::run().await,
             "slopes" => slopes::run().await,
             _ => {
                 // It has a clock and a table of its own.
--- a/crates/proofs/src/declare.rs
+++ b/crates/proofs/src/declare.rs
@@ -5,7 +5,10 @@
 use egret_conf::{Config, Source, collect};
 use egret_model::Version;
 
-use crate::Shape;
+use crate::{
+    Shape,
+    network::{DATA_CENTRES, data_centre_of},
+};
 
 /// A snapshot and how its placement turns the shards over the replicas.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,8 +34,6 @@
     pub more_connections: Vec<u16>,
 }
 
-const DATA_CENTRES: [&str; 3] = ["seeb", "rusayl", "barka"];
-
 impl Declared {
     /// Collects the declarations into a configuration.
     ///
@@ -64,7 +65,7 @@
             );
         }
         for (replica, address) in self.targets[service].iter().enumerate() {
-            let data_centre = DATA_CENTRES[replica % DATA_CENTRES.len()];
+            let data_centre = DATA_CENTRES[data_centre_of(replica)];
             let _ = write!(
                 text,
                 "[[replica]]\nname = \"r{replica}\"\naddress = \"{address}\"\nhost = \"t-{service}-{replica}\"\ndata_centre = \"{data_centre}\"\n"
--- a/crates/proofs/src/fleet.rs
+++ b/crates/proofs/src/fleet.rs
@@ -9,7 +9,7 @@
 use egret_client::{Client, Query};
 use egret_conf::{Config, Head, HostList};
 use egret_node::HttpClient;
-use egret_standin::{Execution, Platform, Target, publish_config, publish_hosts};
+use egret_standin::{Behaviour, Execution, Platform, Target, publish_config, publish_hosts};
 use egret_wire::{HeldSnapshot, METRICS_PATH, READY_PATH};
 use nix::sys::signal::Signal;
 use tokio::{
@@ -21,7 +21,7 @@
 use crate::{
     Daemon, Declared, Passing, Role, Shape, SnapshotPlan, Usage,
     links::Links,
-    network::{DATA_CENTRES, Network},
+    network::{DATA_CENTRES, Network, data_centre_of},
 };
 
 const READY_WITHIN: Duration = Duration::from_secs(30);
@@ -84,7 +84,10 @@
             let mut replicas = Vec::new();
             for replica in 0..shape.replicas {
                 let address = network.target(service * shape.replicas + replica);
-                let target = Target::bind(&traffic, address, shape.behaviour.clone()).await;
+                let near = (0..shape.hosts).filter(|host| data_centre_of(*host) == data_centre_of(replica));
+                let near = near.map(|host| network.host(host)).collect();
+                let behaviour = Behaviour { near, ..shape.behaviour.clone() };
+                let target = Target::bind(&traffic, address, behaviour).await;
                 replicas.push(target.expect("the test's addresses are free"));
             }
             targets.push(replicas);
@@ -143,7 +146,7 @@
         let listen = self.address(host, role).to_string();
         let flags: Vec<String> = match role {
             Role::Agent => {
-                let data_centre = DATA_CENTRES[host % DATA_CENTRES.len()].to_owned();
+                let data_centre = DATA_CENTRES[data_centre_of(host)].to_owned();
                 let peers: Vec<String> = (0..self.shape.hosts)
                     .filter(|peer| *peer != host)
                     .map(|peer| self.network.listed(peer, role, self.shape.linked).to_string())
@@ -191,7 +194,15 @@
         self.links.as_ref().expect("the fleet is linked").part(side, passing);
     }
 
-    /// Ends every cut between hosts.
+    /// Delays messages between hosts of different data centres, each way; the fleet must be linked.
+    ///
+    /// # Panics
+    /// Panics where it is not.
+    pub fn delay_between_data_centres(&self, one_way: Duration) {
+        self.links.as_ref().expect("the fleet is linked").delay_between_data_centres(one_way);
+    }
+
+    /// Ends every cut and delay between hosts.
     pub fn heal(&self) {
         self.links.iter().for_each(Links::heal);
     }
--- a/crates/proofs/src/inside/world.rs
+++ b/crates/proofs/src/inside/world.rs
@@ -20,7 +20,7 @@
 };
 use crate::{
     Declared, Role, Shape, SnapshotPlan,
-    network::{DATA_CENTRES, Network},
+    network::{DATA_CENTRES, Network, data_centre_of},
 };
 
 const GOSSIP: Duration = Duration::from_millis(1000);
@@ -74,7 +74,7 @@
         let target = |service: usize, replica: usize| {
             let address = network.target(service * shape.replicas + replica);
             let target = Target::inside(address, shape.behaviour.clone());
-            net.listen(target_route(&target, replica % DATA_CENTRES.len()));
+            net.listen(target_route(&target, data_centre_of(replica)));
             target
         };
         let targets: Vec<Vec<Target>> = (0..shape.services)
@@ -104,7 +104,7 @@
 
     /// Starts one daemon, in place of one that was killed.
     pub fn start_daemon(&mut self, host: usize, role: Role) {
-        let place = Place::new(Some(host), Some(host % DATA_CENTRES.len()));
+        let place = Place::new(Some(host), Some(data_centre_of(host)));
         let handle = match role {
             Role::Agent => self.start_agent(host, &place),
             Role::Relay => self.start_relay(host, &place),
@@ -222,7 +222,7 @@
         let address = self.network.daemon(host, Role::Agent);
         let agent = Agent::spawn(egret_agent::Options {
             host: host_name(host),
-            data_centre: DataCentre::new(DATA_CENTRES[host % DATA_CENTRES.len()]).expect("the name is valid"),
+            data_centre: DataCentre::new(DATA_CENTRES[data_centre_of(host)]).expect("the name is valid"),
             address,
             client: self.net.client(place),
             platform: self.network.platform(),
--- a/crates/proofs/src/links.rs
+++ b/crates/proofs/src/links.rs
@@ -1,8 +1,11 @@
 //! Forwarders between the hosts of a fleet.
 
-use std::net::IpAddr;
+use std::{net::IpAddr, time::Duration};
 
-use crate::{Forwarder, Passing, Role, network::Network};
+use crate::{
+    Forwarder, Passing, Role,
+    network::{Network, data_centre_of},
+};
 
 const ROLES: [Role; 3] = [Role::Agent, Role::Relay, Role::Entry];
 
@@ -41,6 +44,19 @@
         }
     }
 
+    /// Delays messages between data centres, each way.
+    pub(crate) fn delay_between_data_centres(&self, one_way: Duration) {
+        for (host, forwarders) in self.hosts.iter().enumerate() {
+            let others: Vec<IpAddr> = (0..self.hosts.len())
+                .filter(|other| data_centre_of(*other) != data_centre_of(host))
+                .map(|other| self.network.host(other))
+                .collect();
+            for forwarder in forwarders {
+                forwarder.set_for(others.iter().copied(), Passing::Delayed(one_way));
+            }
+        }
+    }
+
     pub(crate) fn heal(&self) {
         self.hosts.iter().flatten().for_each(|forwarder| forwarder.set(Passing::Open));
     }
--- a/crates/proofs/src/network.rs
+++ b/crates/proofs/src/network.rs
@@ -23,6 +23,11 @@
 
 pub(crate) const DATA_CENTRES: [&str; 3] = ["seeb", "rusayl", "barka"];
 
+/// Returns the number of the data centre of a host or a replica.
+pub(crate) fn data_centre_of(number: usize) -> usize {
+    number % DATA_CENTRES.len()
+}
+
 static NETWORKS: AtomicU8 = AtomicU8::new(0);
 
 /// The first three numbers of a fleet's addresses.
@@ -80,8 +85,7 @@
     pub(crate) fn host_list(self, hosts: usize, linked: bool) -> HostList {
         let host = |number: usize| Host {
             name: HostName::new(format!("host-{number}")).expect("the name is valid"),
-            data_centre: DataCentre::new(DATA_CENTRES[number % DATA_CENTRES.len()])
-                .expect("the name is valid"),
+            data_centre: DataCentre::new(DATA_CENTRES[data_centre_of(number)]).expect("the name is valid"),
             state: HostState::Live,
             agent: Some(self.listed(number, Role::Agent, linked)),
             relay: Some(self.listed(number, Role::Relay, linked)),
--- a/crates/standin/src/behaviour.rs
+++ b/crates/standin/src/behaviour.rs
@@ -1,5 +1,7 @@
 //! How a stand-in target behaves.
 
+use std::{net::IpAddr, time::Duration};
+
 use egret_model::{ClassName, record};
 use egret_wire::HeldSnapshot;
 
@@ -17,6 +19,10 @@
         pub slow_factor: f64,
         /// The delay of a new connection in microseconds.
         pub connect_us: u64,
+        /// The delay of a message, each way, from and to peers that are not near, in microseconds.
+        pub far_us: u64,
+        /// The peers in the target's own data centre.
+        pub near: Vec<IpAddr>,
         /// Whether it takes no new work and says so.
         pub draining: bool,
         /// Whether only its health says that it drains, while it still runs what arrives.
@@ -52,6 +58,8 @@
             slow_share: 0.0,
             slow_factor: 1.0,
             connect_us: 0,
+            far_us: 0,
+            near: Vec::new(),
             draining: false,
             health_drains: false,
             starting: false,
@@ -67,3 +75,11 @@
         }
     }
 }
+
+impl Behaviour {
+    /// Returns how long a message from or to a peer takes longer than inside a data centre.
+    pub(crate) fn delay_of(&self, peer: IpAddr) -> Duration {
+        let is_near = self.near.contains(&peer);
+        Duration::from_micros(if is_near { 0 } else { self.far_us })
+    }
+}
--- a/crates/standin/src/target_server.rs
+++ b/crates/standin/src/target_server.rs
@@ -56,9 +56,13 @@
 
     async fn exchanges(&self, stream: &mut TcpStream) -> Option<()> {
         let mut stream = BufReader::new(stream);
+        let peer = stream.get_ref().peer_addr().ok()?.ip();
         loop {
             let request = read_request(&mut stream).await?;
+            let delay = self.behaviour().delay_of(peer);
+            pass(delay).await;
             let response = self.respond(request).await;
+            pass(delay).await;
             let text = format!(
                 "HTTP/1.1 {} x\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
                 response.status,
@@ -107,3 +111,10 @@
     }
     None
 }
+
+/// Waits for a message on its way; a timer of no time would still wait for its next step.
+async fn pass(delay: Duration) {
+    if !delay.is_zero() {
+        sleep(delay).await;
+    }
+}
