Release the waiting parts of a new request with its first answer

Cause: a request that no target answered yet runs on one replica at a time, so that a crashing one breaks one. Its parts that waited kept that rule after the first answer, so a new query over one service of many replicas ran on one replica after another. Ruled out: slots (half were free), the delays between data centres (the same test without a network shows it), the choice of replica (`random` has the same figures).

--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -236,6 +236,13 @@
         self.queue.remove(id).is_some()
     }
 
+    /// Lets a request run on several replicas at a time, because a target has answered it.
+    pub fn prove(&mut self, now: Instant, fingerprint: Fingerprint) -> Vec<Decision> {
+        self.unproven.retain(|run| run.fingerprint != fingerprint);
+        self.queue.prove(fingerprint);
+        self.poll(now)
+    }
+
     /// Frees a slot and learns from how the attempt ended.
     pub fn finish(
         &mut self,
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -1,5 +1,7 @@
 //! Work that waits for a slot, in the order in which it will be served.
 
+use egret_model::Fingerprint;
+
 use crate::{Work, WorkId};
 
 /// Every so many contended starts, one goes to the last class.
@@ -56,6 +58,12 @@
         Some(self.waiting.remove(at))
     }
 
+    /// Lifts from waiting work the rule for requests that no target answered yet.
+    pub(crate) fn prove(&mut self, fingerprint: Fingerprint) {
+        let proven = |work: &&mut Work| work.unproven == Some(fingerprint);
+        self.waiting.iter_mut().filter(proven).for_each(|work| work.unproven = None);
+    }
+
     /// Removes the work that `keep` rejects; it is told the position among kept work.
     pub(crate) fn retain(&mut self, mut keep: impl FnMut(usize, &Work) -> bool) {
         let mut position = 0;
--- a/crates/policy/tests/scenarios.rs
+++ b/crates/policy/tests/scenarios.rs
@@ -1,7 +1,7 @@
 //! Scripted scenarios of the dispatcher, on a clock that only `advance` moves.
 //!
 //! Commands: `service`, `replicas`, `report`, `lost`, `offer`, `finish`, `hedge`,
-//! `leaving`, `advance`, `withdraw`. Each prints the decisions that it causes.
+//! `leaving`, `prove`, `advance`, `withdraw`. Each prints the decisions that it causes.
 
 use std::{
     net::SocketAddr,
@@ -60,6 +60,10 @@
                 let is_news = self.dispatcher.learn_leaving(self.now, sign);
                 return if is_news { "news\n".to_owned() } else { "known\n".to_owned() };
             }
+            "prove" => {
+                let like = Fingerprint(case.take_arg("like").unwrap());
+                self.dispatcher.prove(self.now, like)
+            }
             "withdraw" => {
                 let id = WorkId(case.take_arg("id").unwrap());
                 return format!("{}\n", self.dispatcher.withdraw(id));
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -181,6 +181,9 @@
     }
     take_word(cx, service, started, address, reply.draining);
     cx.relay.prove(cx.fingerprint);
+    if slot.is_unproven() {
+        service.prove(now(), cx.fingerprint);
+    }
     let latency = now().saturating_duration_since(started);
     cx.relay.instruments().exchange_ms.record(latency.as_secs_f64() * 1000.0, &[]);
     (AttemptEnd::Found(shard_hits(reply)), Ran::Yes, Finish::Answered(latency))
--- a/crates/relay/src/service_state.rs
+++ b/crates/relay/src/service_state.rs
@@ -153,6 +153,13 @@
         self.settle(inner, decisions);
     }
 
+    /// Lets a request that a target answered run on several replicas at a time.
+    pub(crate) fn prove(self: &Arc<Self>, now: Instant, fingerprint: Fingerprint) {
+        let mut inner = self.lock();
+        let decisions = inner.dispatcher.prove(now, fingerprint);
+        self.settle(inner, decisions);
+    }
+
     /// Refuses waiting work whose time has come, and starts what can start.
     pub(crate) fn poll(self: &Arc<Self>, now: Instant) {
         let mut inner = self.lock();
--- a/crates/relay/src/slot.rs
+++ b/crates/relay/src/slot.rs
@@ -33,6 +33,11 @@
         &self.service
     }
 
+    /// Tells whether no target had answered the request when the slot was taken.
+    pub(crate) fn is_unproven(&self) -> bool {
+        self.unproven.is_some()
+    }
+
     /// Frees the slot and tells how the attempt ended.
     pub(crate) fn finish(mut self, finish: Finish) {
         self.free(finish);
