--- a/crates/tools/src/lib.rs
+++ b/crates/tools/src/lib.rs
@@ -1,12 +1,14 @@
-//! The operator's tools: publish, timeline, load.
+//! The operator's tools: publish, timeline, load, plot.
 //!
 //! - `egret-publish` checks declaration files and writes the collected, versioned
 //!   configuration: [`publish`].
 //! - `egret-timeline` merges the journals of all processes into one time line.
 //! - `egret-load` sends an open-loop load and reports latency, coverage and extra
 //!   attempts: [`load`].
+//! - `egret-plot` draws what `scripts/bench --out` measured: [`plot`].
 //!
 //! docs/OPERATIONS.md shows each at work.
 
 pub mod load;
+pub mod plot;
 pub mod publish;
