Let the first plan's outcome stand where a second plan is refused

That breaks the promise that such a refusal is true. Ruled out: the same for non-idempotent work, which is planned again only where nothing ran. Test a_second_plan_that_fails_does_not_deny_what_the_first_one_ran failed first (not-found, ran no, after a run); now the partial answer of the first plan comes. The loop over plans is a function of its own.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -121,7 +121,7 @@
         outcome
     }
 
-    /// Plans and gathers; a snapshot that turns out not to be held is left for another.
+    /// Plans a query, asks the relays first where that is worth it, and gathers.
     async fn run_plans(
         &self,
         query: QueryId,
@@ -133,28 +133,40 @@
             return Err(refusal.retry_after_ms(NOT_READY_RETRY_AFTER_MS));
         }
         let view = self.inner.follower.view();
-        let mut plan = self.plan(&view, query, request, started)?;
+        let plan = self.plan(&view, query, request, started)?;
         self.refuse_poison(plan.fingerprint)?;
         if let Some(refused) = Gatherer::new(self, Arc::clone(&view), &plan).preflight().await {
             return Ok((plan, refused));
         }
+        Ok(self.gather_plans(&view, plan, request, started).await)
+    }
+
+    /// Gathers; a snapshot that turns out not to be held is left for another.
+    async fn gather_plans(
+        &self,
+        view: &Arc<View>,
+        mut plan: Plan,
+        request: &QueryRequest,
+        started: Instant,
+    ) -> (Plan, Gathered) {
         let (mut attempts, mut needed, mut ran) = (0, 0, Ran::No);
         for number in 1.. {
-            let mut gathered = Gatherer::new(self, Arc::clone(&view), &plan).gather().await;
+            let mut gathered = Gatherer::new(self, Arc::clone(view), &plan).gather().await;
             attempts += gathered.attempts;
             needed = needed.max(gathered.needed);
             ran = ran.and(gathered.ran);
             (gathered.attempts, gathered.needed, gathered.ran) = (attempts, needed, ran);
             let may_replan = number < PLANS_MAX && (request.idempotent || ran == Ran::No);
             if !may_replan || !misses_snapshot(&gathered) || now() >= plan.deadline {
-                return Ok((plan, gathered));
-            }
-            let next = self.plan(&view, query, request, started)?;
-            if next.snapshot == plan.snapshot {
-                return Ok((plan, gathered));
+                return (plan, gathered);
             }
+            // A refusal of the next plan would say that nothing ran, but this one may have.
+            let next = self.plan(view, plan.query, request, started).ok();
+            let Some(next) = next.filter(|next| next.snapshot != plan.snapshot) else {
+                return (plan, gathered);
+            };
             let detail = format!("from snapshot {} to {}", plan.snapshot, next.snapshot);
-            self.journal().record(Code::QueryReplanned, query, detail);
+            self.journal().record(Code::QueryReplanned, plan.query, detail);
             plan = next;
         }
         unreachable!("the last plan returns")
