Let a client's error speak for all tries of a query

Cause, found by reading: Client::query sends a query again within its budget, and its error told whether the last try ran. A try that was lost without an answer, followed by a refusal with ran: no, came out as not run, though targets may have run the lost one. Ruled out: the entry, whose refusals are about one request each. Whether the client comes back is decided by each refusal's own word, as before.

--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -59,7 +59,8 @@
     /// Sends a query until it is answered, refused for good, or out of time.
     ///
     /// # Errors
-    /// Returns the last refusal, which says whether the query ran.
+    /// Returns the last refusal; its `ran` speaks for all tries, since an earlier one
+    /// may have run although the last one did not.
     pub async fn query(&self, query: &Query) -> Result<QueryAnswer> {
         let mut request = query.request.clone();
         let budget = request.budget_ms.map_or(BUDGET, |ms| Duration::from_millis(u64::from(ms)));
@@ -68,24 +69,27 @@
             request.ticket = Some(self.ticket().await?.ticket);
         }
         let mut last = Error::unreachable(false);
+        let mut ran = Ran::No;
         loop {
             let wait = match self.send(&request, deadline).await {
                 Tried::Answer(answer) => return Ok(*answer),
                 Tried::Refusal(body) => {
                     last = Error::refused((*body).clone());
+                    ran = ran.and(body.ran);
                     if !may_come_back(&mut request, &body) {
-                        return Err(last);
+                        return Err(last.with_ran(ran));
                     }
                     body.retry_after_ms.map_or(RETRY_AFTER, Duration::from_millis)
                 }
                 Tried::NotSent => RETRY_AFTER,
                 Tried::Lost => {
                     last = Error::unreachable(true);
+                    ran = ran.and(Ran::Unknown);
                     RETRY_AFTER
                 }
             };
             if Instant::now() + wait >= deadline {
-                return Err(last);
+                return Err(last.with_ran(ran));
             }
             tokio::time::sleep(wait).await;
         }
--- a/crates/client/src/error.rs
+++ b/crates/client/src/error.rs
@@ -30,6 +30,16 @@
         Self { code: Box::new(ErrorCode::Unreachable { may_have_run }) }
     }
 
+    /// Lets the error speak for earlier tries too.
+    pub(crate) fn with_ran(mut self, earlier: Ran) -> Self {
+        match &mut *self.code {
+            ErrorCode::Refused(body) => body.ran = body.ran.and(earlier),
+            ErrorCode::Unreachable { may_have_run } => *may_have_run |= earlier != Ran::No,
+            ErrorCode::Invalid(_) => {}
+        }
+        self
+    }
+
     pub(crate) fn invalid(reason: impl fmt::Display) -> Self {
         Self { code: Box::new(ErrorCode::Invalid(reason.to_string())) }
     }
