Compare a host list with the very state that it replaces

Cause, found by reading: an agent compared a list with its state, and then swapped it in whatever was in force by then. Two peers that answer at once on different threads could let an older list replace a newer one, so that a host that leaves was listed as live again until the next question. Configurations were safe: they are taken one at a time. Entries and relays never took an older list either.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -248,31 +248,33 @@
         }
         let services = fetch_services(&state, &manifest, source).await?;
         let version = head.version;
-        self.put_in_force(|now| AgentState {
+        self.inner.state.rcu(|now| AgentState {
             head: head.with_history(&now.head),
             manifest: manifest.clone(),
             services: services.clone(),
-            ..now.clone()
+            ..AgentState::clone(now)
         });
+        self.announce();
         self.inner.ops.journal.record(Code::ConfigInForce, None, format!("version {version}"));
         Ok(())
     }
 
     /// Puts a newer host list in force; news that do not fit are left for the next question.
     fn take_hosts(&self, news: HostsNews) {
-        let Some(next) = self.state().with_hosts(news) else { return };
-        let revision = next.hosts.revision;
-        self.put_in_force(|now| AgentState {
-            hosts: next.hosts.clone(),
-            hosts_changes: next.hosts_changes.clone(),
-            ..now.clone()
+        let mut taken = None;
+        // Several peers may answer at once: each list is held against the state that it replaces.
+        self.inner.state.rcu(|now| {
+            let next = now.with_hosts(news.clone());
+            taken = next.as_ref().map(|next| next.hosts.revision);
+            next.map_or_else(|| Arc::clone(now), Arc::new)
         });
+        let Some(revision) = taken else { return };
+        self.announce();
         self.inner.ops.journal.record(Code::HostsInForce, None, format!("revision {revision}"));
     }
 
-    /// Swaps the state and tells followers and some peers at once.
-    fn put_in_force(&self, next: impl Fn(&AgentState) -> AgentState) {
-        self.inner.state.rcu(|now| next(now));
+    /// Tells followers and some peers at once of a new state.
+    fn announce(&self) {
         self.inner.changes.send_modify(|count| *count += 1);
         for peer in self.some_peers(PUSH_PEERS) {
             let agent = self.clone();
