--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -104,6 +104,8 @@
     AnswerPartial = 503, "partial answer";
     /// The system gave no descriptor for a caller's connection.
     AcceptFailed = 504, "connection not accepted";
+    /// A gatherer gave no answer; another host gathers.
+    GathererFailed = 505, "gatherer failed";
     /// A host was heard of for the first time.
     HostFound = 510, "host found";
     /// Other replicas take work from now on.
@@ -112,6 +114,10 @@
     StoreRegained = 512, "platform answers again";
     /// A published entry cannot be read and names no replica.
     EntryUnreadable = 513, "entry cannot be read";
+    /// Other hosts gather from now on.
+    GatherersChosen = 516, "gatherers chosen";
+    /// A host did not answer.
+    HostSuspected = 517, "host suspected";
     /// Settings were read again.
     SettingsReloaded = 514, "settings read again";
     /// Settings could not be read again; the old ones stay.
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -7,7 +7,7 @@
 
 use egret_events::{Code, log_decision};
 use egret_policy::{GatherAim, weighted_draw};
-use egret_routes::{Backend, GatherPlan, Route, RouteTable, greatest};
+use egret_routes::{Backend, Route, RouteTable};
 use hyper::{
     Request, StatusCode,
     body::Incoming,
@@ -17,9 +17,9 @@
 use crate::{
     caller_request::{CallerRequest, IntakeError},
     core::Core,
-    fan::{FanEnd, FanRules, fan},
+    fan::{FanRules, fan},
+    gather::gather,
     reply::{self, CallerReply},
-    target_answer::TargetAnswer,
 };
 
 /// What an answer needs to reach its caller: both ways, a new connection, and a busy host.
@@ -99,7 +99,7 @@
     reply::refused(StatusCode::SERVICE_UNAVAILABLE, reason, Some(RETRY_NO_TARGET))
 }
 
-fn rules(core: &Core, route: &Route, req: &CallerRequest, least: usize) -> FanRules {
+pub(crate) fn fan_rules(core: &Core, route: &Route, req: &CallerRequest, least: usize) -> FanRules {
     let allowed = req.deadline.saturating_sub(END_MARGIN).min(Duration::from_millis(route.timeout_ms));
     let goal = Duration::from_millis(route.goal_ms).saturating_sub(CALLER_MARGIN);
     let (usual, hedge_after) =
@@ -111,49 +111,26 @@
         hedge_after: route.idempotent.then_some(hedge_after),
         attempts_max: route.attempts_max.max(1) as usize,
     };
-    FanRules { aim, repeats: route.idempotent, usual }
+    FanRules { aim, repeats: route.idempotent, usual, is_repeat: false }
 }
 
 async fn single(core: &Arc<Core>, route: &Route, service: &Arc<str>, req: &Arc<CallerRequest>) -> CallerReply {
-    let rules = rules(core, route, req, 1);
+    let rules = fan_rules(core, route, req, 1);
     let mut end = fan(core, req, route, std::slice::from_ref(service), rules).await;
     if let Some(answer) = end.parts[0].take() {
         return reply::relayed(answer, &core.options.headers);
     }
-    log_failure(req, route, &end);
+    let detail = format!("route {} after {} ms: {}", route.name, elapsed_ms(req), end.summary());
+    log_decision(Code::RequestFailed, req.id_text(), &detail);
     match end.failure.take() {
         Some(answer) => reply::relayed(answer, &core.options.headers),
-        None => failed(req, route, &end),
-    }
-}
-
-async fn gather(core: &Arc<Core>, route: &Route, plan: &GatherPlan, req: &Arc<CallerRequest>) -> CallerReply {
-    let rules = rules(core, route, req, plan.least_shards());
-    let end = fan(core, req, route, &plan.shards, rules).await;
-    let parts: Vec<&TargetAnswer> = end.parts.iter().flatten().collect();
-    let missing = plan.shards.len() - parts.len();
-    if !end.is_enough {
-        log_failure(req, route, &end);
-        return failed(req, route, &end);
+        None => no_answer(req, route, end.may_have_run),
     }
-    if missing > 0 {
-        let detail = format!(
-            "route {} without {missing} of {} shards, {} extra copies, after {} ms",
-            route.name,
-            plan.shards.len(),
-            end.extra,
-            elapsed_ms(req)
-        );
-        log_decision(Code::AnswerPartial, req.id_text(), &detail);
-    }
-    let receipts: Vec<HeaderValue> = parts.iter().filter_map(|part| part.receipt.clone()).collect();
-    let bodies: Vec<bytes::Bytes> = parts.iter().map(|part| part.body.clone()).collect();
-    reply::gathered(req, &core.options.headers, &receipts, missing, greatest(&bodies, plan.top))
 }
 
 /// Answers a request that cannot be served; the status says whether it may have run.
-fn failed(req: &CallerRequest, route: &Route, end: &FanEnd) -> CallerReply {
-    if !end.may_have_run {
+pub(crate) fn no_answer(req: &CallerRequest, route: &Route, may_have_run: bool) -> CallerReply {
+    if !may_have_run {
         let reason = "no target had room or could be reached: come back later";
         return reply::refused(StatusCode::SERVICE_UNAVAILABLE, reason, Some(RETRY_NO_TARGET));
     }
@@ -163,24 +140,7 @@
     reply::refused(status, "the targets gave no answer that can be used: try again", None)
 }
 
-fn log_failure(req: &CallerRequest, route: &Route, end: &FanEnd) {
-    let in_time = end.parts.iter().flatten().count();
-    let loss = end.last_loss.map(|cause| cause.to_string()).unwrap_or_default();
-    let signed = end.failure.as_ref().map(|answer| answer.status.as_u16());
-    let detail = format!(
-        "route {}: {in_time} of {} parts, {} without target, {} extra copies, may have run: {}, \
-         target's failure: {signed:?}, last loss: {loss}, after {} ms",
-        route.name,
-        end.parts.len(),
-        end.without_target,
-        end.extra,
-        end.may_have_run,
-        elapsed_ms(req)
-    );
-    log_decision(Code::RequestFailed, req.id_text(), &detail);
-}
-
-fn elapsed_ms(req: &CallerRequest) -> u128 {
+pub(crate) fn elapsed_ms(req: &CallerRequest) -> u128 {
     now().saturating_duration_since(req.arrived_at).as_millis()
 }
 
--- a/crates/front/src/beliefs.rs
+++ b/crates/front/src/beliefs.rs
@@ -7,32 +7,24 @@
 };
 
 use egret_events::{Code, log_decision};
-use egret_members::{Membership, News};
+use egret_members::{Member, Membership, News};
 use egret_model::Version;
-use egret_policy::is_reader;
-use egret_routes::{Registry, RegistryEntry, RouteTable};
+use egret_policy::{GatherHost, gatherers, readers};
+use egret_routes::{Registry, RegistryEntry, Replica, RouteTable};
 
 use crate::core::Core;
 
-/// Without news of the store for this long, a host reads it itself. A reader's own watch
-/// confirms each second, and the news needs some gossip rounds.
-pub(crate) const STORE_AGE_MAX: Duration = Duration::from_millis(1800);
+/// Without news of the store for this long, a host reads it itself: a reader's watch confirms
+/// each second, and a host asks a reader about once a second. Changes must be in force within
+/// three seconds.
+pub(crate) const STORE_AGE_MAX: Duration = Duration::from_millis(2500);
+/// How long a host that just started looks for others before it reads the store alone.
+const START_ALONE: Duration = Duration::from_millis(400);
+/// Processor time that one gather at a time takes up while it runs, for comparing gatherers.
+const GATHER_MILLICORES: u32 = 40;
 /// Marks that one message carries.
 const MARKS_MAX: usize = 16;
 
-/// How far another host has come, as far as this host knows.
-#[derive(Clone, Copy, Debug, Default)]
-struct Position {
-    version: Version,
-    synced: u64,
-}
-
-#[derive(Debug)]
-struct Known {
-    address: SocketAddr,
-    position: Position,
-}
-
 /// What this host knows of the fleet; lives on the control thread.
 #[derive(Debug)]
 pub(crate) struct Beliefs {
@@ -41,8 +33,8 @@
     pub(crate) registry: Registry,
     table: Option<Arc<RouteTable>>,
     confirmed_at: Option<Instant>,
-    /// Sorted by address.
-    positions: Vec<Known>,
+    /// The hosts that gather, as targets of their data centre.
+    gatherers: Vec<Replica>,
     /// The greatest revision that may be told as complete; a held-back deletion bounds it.
     complete_before: Option<u64>,
 }
@@ -55,7 +47,7 @@
             registry: Registry::default(),
             table: None,
             confirmed_at: None,
-            positions: Vec::new(),
+            gatherers: Vec::new(),
             complete_before: None,
         }
     }
@@ -66,8 +58,15 @@
             Some(at) => now.saturating_duration_since(at),
             None => self.membership.age(now),
         };
-        let live = self.membership.live(now).map(|member| member.address);
-        age > STORE_AGE_MAX || is_reader(self.membership.own().address, live)
+        if age < START_ALONE && self.confirmed_at.is_none() && self.membership.size() == 1 {
+            return false;
+        }
+        age > STORE_AGE_MAX || self.readers(now).contains(&self.membership.own().address)
+    }
+
+    /// Returns the hosts that read the store for all.
+    pub(crate) fn readers(&self, now: Instant) -> Vec<SocketAddr> {
+        readers(self.membership.live(now).map(|member| member.address))
     }
 
     /// Notes that the store answered a call that was sent then.
@@ -104,30 +103,38 @@
         changed
     }
 
-    /// Returns a message for a host; an answer to its message where `to` is given.
-    pub(crate) fn news_for(&self, now: Instant, to: Option<SocketAddr>) -> News {
-        let position = to.and_then(|to| self.position_of(to));
-        let version = self.version();
-        let synced = self.registry.synced();
-        let table = position.filter(|p| p.version < version).and_then(|_| self.table.clone());
-        let replicas = position.filter(|p| p.synced < synced).map(|p| self.registry.delta(p.synced));
+    /// Returns a message that says how far this host has come.
+    pub(crate) fn news(&mut self, now: Instant) -> News {
         News {
-            members: self.membership.told(now),
-            version,
-            synced,
+            hosts: self.membership.size() as u32,
+            members: self.membership.told(),
+            version: self.version(),
+            synced: self.registry.synced(),
+            changed: self.registry.changed(),
             store_age_ms: self.confirmed_at.map(|at| now.saturating_duration_since(at).as_millis() as u64),
             marks: self.core.suspects().all_told(now, MARKS_MAX),
-            table,
-            replicas,
+            table: None,
+            replicas: None,
         }
     }
 
+    /// Returns the answer to a host's message, with what that host lacks.
+    pub(crate) fn answer_to(&mut self, now: Instant, asked: &News) -> News {
+        let (version, synced) = (asked.version, asked.synced);
+        let table = self.table.clone().filter(|table| table.version() > version);
+        let replicas = (self.registry.changed() > synced).then(|| self.registry.delta(synced));
+        let mut news = News { table, replicas, ..self.news(now) };
+        news.members.extend(self.membership.introduced(asked.hosts as usize));
+        news
+    }
+
+    /// Tells whether a host with this message knows what this host lacks.
+    pub(crate) fn is_behind(&self, news: &News) -> bool {
+        news.version > self.version() || news.changed > self.registry.synced()
+    }
+
     /// Takes another host's message; returns whether it changed what traffic goes by.
     pub(crate) fn take_news(&mut self, now: Instant, news: News) -> bool {
-        if let Some(sender) = news.members.first() {
-            let position = Position { version: news.version, synced: news.synced };
-            self.set_position(sender.address, position);
-        }
         for member in &news.members {
             if self.membership.learn(now, member) {
                 let detail = format!("{} in {}", member.address, member.data_centre);
@@ -152,9 +159,26 @@
         changed
     }
 
-    /// Notes that a host has what was sent to it.
-    pub(crate) fn told(&mut self, to: SocketAddr, news: &News) {
-        self.set_position(to, Position { version: news.version, synced: news.synced });
+    /// Works out anew which hosts gather.
+    pub(crate) fn choose_gatherers(&mut self, now: Instant) {
+        let hosts: Vec<GatherHost> = self.membership.live(now).map(gather_host).collect();
+        let mut names: Vec<&Arc<str>> = hosts.iter().map(|host| &host.data_centre).collect();
+        names.sort_unstable();
+        names.dedup();
+        let port = self.core.options.gathers.port();
+        let mut chosen = Vec::new();
+        for name in names {
+            for address in gatherers(&hosts, name) {
+                let host = hosts.iter().find(|host| host.address == address);
+                chosen.extend(host.map(|host| as_replica(host, port)));
+            }
+        }
+        if chosen != self.gatherers {
+            let names: Vec<&str> = chosen.iter().map(|gatherer| &*gatherer.id).collect();
+            log_decision(Code::GatherersChosen, "", &names.join(" "));
+            self.core.set_gatherers(&chosen);
+            self.gatherers = chosen;
+        }
     }
 
     fn version(&self) -> Version {
@@ -169,16 +193,29 @@
             log_decision(Code::ReplicasInForce, "", &detail);
         }
     }
+}
 
-    fn position_of(&self, address: SocketAddr) -> Option<Position> {
-        let at = self.positions.binary_search_by_key(&address, |known| known.address).ok()?;
-        Some(self.positions[at].position)
+fn gather_host(member: &Member) -> GatherHost {
+    GatherHost {
+        address: member.address,
+        data_centre: Arc::clone(&member.data_centre),
+        millicores: member.millicores,
+        parts_per_s: member.parts_per_s,
     }
+}
 
-    fn set_position(&mut self, address: SocketAddr, position: Position) {
-        match self.positions.binary_search_by_key(&address, |known| known.address) {
-            Ok(at) => self.positions[at].position = position,
-            Err(at) => self.positions.insert(at, Known { address, position }),
-        }
+/// Describes a gatherer as a target, so that hosts choose among them as among replicas.
+fn as_replica(host: &GatherHost, port: u16) -> Replica {
+    let address = SocketAddr::new(host.address.ip(), port);
+    Replica {
+        id: address.to_string().into(),
+        service: Arc::clone(&host.data_centre),
+        address,
+        data_centre: Arc::clone(&host.data_centre),
+        slots: (host.millicores / GATHER_MILLICORES).max(1),
+        draining: false,
+        cold_ms: 0,
+        born_ms: 0,
+        report: 0,
     }
 }
--- a/crates/front/src/caller_request.rs
+++ b/crates/front/src/caller_request.rs
@@ -79,8 +79,7 @@
         let mut headers = head.headers;
         remove_hop_by_hop(&mut headers);
         let uri = origin_form(head.uri);
-        let seed = xxh3_64(uri.path().as_bytes());
-        let fingerprint = Fingerprint(xxh3_64_with_seed(&body, seed));
+        let fingerprint = fingerprint_of(&uri, &body);
         Ok(Self { id, method: head.method, uri, host, headers, body, arrived_at, deadline, fingerprint })
     }
 
@@ -95,6 +94,12 @@
     }
 }
 
+/// Hashes what a target gets to see of a request, but for its identifier.
+pub(crate) fn fingerprint_of(uri: &Uri, body: &[u8]) -> Fingerprint {
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    Fingerprint(xxh3_64_with_seed(body, xxh3_64(path.as_bytes())))
+}
+
 fn host_of(headers: &HeaderMap, uri: &Uri) -> Option<String> {
     let named = headers.get(HOST).and_then(|value| value.to_str().ok());
     let host = uri.authority().map(|authority| authority.as_str()).or(named)?;
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -11,7 +11,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use egret_events::{Code, log_decision};
 use egret_policy::{RetryBudget, Suspects};
-use egret_routes::{Registry, Route, RouteTable};
+use egret_routes::{Registry, Replica, Route, RouteTable};
 
 use crate::{
     Options,
@@ -24,6 +24,8 @@
 
 /// The share of a target's connections that hosts use; the rest is for hosts that come and go.
 const CONNECTIONS_SHARE: f64 = 0.85;
+/// Shares of the targets' limits for each gatherer; the rest is for other hosts' needs.
+const GATHERERS_SPARE: f64 = 1.5;
 /// How long a target that broke a connection may take to show that it still runs.
 const CRASH_CHECK_AFTER: Duration = Duration::from_millis(20);
 
@@ -41,7 +43,12 @@
     pub(crate) table: ArcSwapOption<RouteTable>,
     pub(crate) targets: ArcSwap<TargetSet>,
     pub(crate) suspects: Mutex<Suspects>,
+    /// Hosts that gather for others, by data centre.
+    pub(crate) gatherers: ArcSwap<TargetSet>,
     hosts: AtomicUsize,
+    gatherer_count: AtomicUsize,
+    is_gatherer: AtomicBool,
+    parts: AtomicU64,
     stopping: AtomicBool,
     confirmed_at: Mutex<Option<Instant>>,
     budgets: Mutex<Vec<Named<RetryBudget>>>,
@@ -55,7 +62,11 @@
             table: ArcSwapOption::default(),
             targets: ArcSwap::default(),
             suspects: Mutex::default(),
+            gatherers: ArcSwap::default(),
             hosts: AtomicUsize::new(1),
+            gatherer_count: AtomicUsize::new(0),
+            is_gatherer: AtomicBool::new(false),
+            parts: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
             confirmed_at: Mutex::default(),
             budgets: Mutex::default(),
@@ -76,6 +87,44 @@
         self.hosts.store(hosts, Ordering::Relaxed);
     }
 
+    /// Takes the hosts that gather, as targets whose service is their data centre.
+    pub(crate) fn set_gatherers(&self, gatherers: &[Replica]) {
+        let own = self.options.gathers;
+        let others = gatherers.iter().filter(|gatherer| gatherer.address != own);
+        let next = self.gatherers.load().rebuild(others, &self.options.data_centre);
+        self.gatherers.store(Arc::new(next));
+        self.gatherer_count.store(gatherers.len(), Ordering::Relaxed);
+        let is_gatherer = gatherers.iter().any(|gatherer| gatherer.address == own);
+        self.is_gatherer.store(is_gatherer, Ordering::Relaxed);
+    }
+
+    /// Tells whether this host asks the targets of gathers itself.
+    pub(crate) fn is_gatherer(&self) -> bool {
+        self.is_gatherer.load(Ordering::Relaxed)
+    }
+
+    /// Counts parts of gathers that this host asks for.
+    pub(crate) fn count_parts(&self, parts: usize) {
+        self.parts.fetch_add(parts as u64, Ordering::Relaxed);
+    }
+
+    /// Returns the parts that were counted since the last call.
+    pub(crate) fn take_parts(&self) -> u64 {
+        self.parts.swap(0, Ordering::Relaxed)
+    }
+
+    /// Returns among how many hosts the targets' limits are shared.
+    ///
+    /// Gatherers share among themselves; another host asks targets of gathers only where no
+    /// gatherer answers.
+    fn sharing_hosts(&self) -> usize {
+        let gatherers = self.gatherer_count.load(Ordering::Relaxed);
+        if self.is_gatherer() && gatherers > 0 {
+            return (gatherers as f64 * GATHERERS_SPARE).ceil() as usize;
+        }
+        self.hosts.load(Ordering::Relaxed).max(1)
+    }
+
     pub(crate) fn set_confirmed_at(&self, at: Option<Instant>) {
         *lock(&self.confirmed_at) = at;
     }
@@ -102,19 +151,19 @@
     pub(crate) fn connections_max(&self, service: &str) -> usize {
         let table = self.table.load();
         let all = table.as_ref().and_then(|table| table.service(service)).map_or(1, |s| s.connections_max);
-        let hosts = self.hosts.load(Ordering::Relaxed).max(1);
+        let hosts = self.sharing_hosts();
         ((f64::from(all) * CONNECTIONS_SHARE) as usize / hosts).max(1)
     }
 
     /// Counts a first copy at a service.
     pub(crate) fn earn(&self, now: Instant, service: &Arc<str>) {
-        let hosts = self.hosts.load(Ordering::Relaxed);
+        let hosts = self.sharing_hosts();
         self.with_budget(now, service, |budget| budget.earn(hosts));
     }
 
     /// Takes a second copy at a service out of the budget, if there is one.
     pub(crate) fn spend(&self, now: Instant, service: &Arc<str>) -> bool {
-        let hosts = self.hosts.load(Ordering::Relaxed);
+        let hosts = self.sharing_hosts();
         self.with_budget(now, service, |budget| budget.spend(now, hosts))
     }
 
--- /dev/null
+++ b/crates/front/src/delegate.rs
@@ -0,0 +1,183 @@
+//! Handing a gather to the host that asks the targets for this one.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use derive_more::Display;
+use egret_events::{Code, log_decision};
+use egret_policy::ExchangeEnd;
+use egret_routes::{GatherPlan, Route};
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, StatusCode};
+
+use crate::{
+    caller_request::CallerRequest,
+    connection::Connection,
+    core::Core,
+    gather_call::{GatherCall, GatherReply},
+    target::{Running, Target},
+};
+
+/// The path that takes gathers of other hosts.
+pub(crate) const GATHER_PATH: &str = "/v1/gather";
+/// How long a gatherer may take to say that it has the request; it says so before it asks targets.
+const ACCEPT_TIMEOUT: Duration = Duration::from_millis(60);
+/// Gatherers that are tried before this host asks the targets itself.
+const GATHERERS_MAX: usize = 2;
+/// The usual time of a gather, as a share of the route's goal.
+const USUAL_GOAL_SHARE: f64 = 0.6;
+/// A data centre can gather when it has targets for this share of the shards that the best one has.
+const SHARDS_SHARE_MIN: f64 = 0.8;
+
+/// Who gathers.
+#[derive(Debug)]
+pub(crate) enum Delegated {
+    /// Another host did.
+    Done(GatherReply),
+    /// This host has to.
+    Here {
+        /// Whether another host may have asked targets already.
+        is_repeat: bool,
+    },
+}
+
+/// Why a gatherer gave no answer.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+enum DelegateError {
+    #[display("cannot be reached")]
+    NotSent,
+    #[display("did not accept in time")]
+    NotAccepted,
+    #[display("goes by another configuration")]
+    OtherPlan,
+    #[display("broke off")]
+    Broken,
+}
+
+/// Hands a gather to a host near the targets, if this host is not such a one.
+pub(crate) async fn delegate(
+    core: &Arc<Core>,
+    route: &Route,
+    plan: &GatherPlan,
+    req: &Arc<CallerRequest>,
+) -> Delegated {
+    let mut is_repeat = false;
+    let near = data_centres(core, plan);
+    let own = &core.options.data_centre;
+    if core.is_gatherer() && near.contains(own) {
+        return Delegated::Here { is_repeat };
+    }
+    let first: Vec<Arc<str>> = near.iter().filter(|name| *name == own).cloned().collect();
+    let mut tried = Vec::new();
+    for _ in 0..GATHERERS_MAX {
+        let hosts = core.gatherers.load();
+        let picked = first.iter().find_map(|name| hosts.pick(now(), &[name], &tried, false));
+        let any: Vec<&str> = near.iter().map(|name| &**name).collect();
+        let Some(gatherer) = picked.or_else(|| hosts.pick(now(), &any, &tried, false)) else { break };
+        tried.push(Arc::clone(&gatherer.replica.id));
+        match call(&gatherer, route, plan, req, is_repeat).await {
+            Ok(reply) => return Delegated::Done(reply),
+            Err(error) => {
+                let detail = format!("route {}: gatherer {} {error}", route.name, gatherer.replica.id);
+                log_decision(Code::GathererFailed, req.id_text(), &detail);
+                is_repeat |= matches!(error, DelegateError::NotAccepted | DelegateError::Broken);
+            }
+        }
+    }
+    Delegated::Here { is_repeat }
+}
+
+/// Returns the data centres that hold targets for most shards of a plan.
+fn data_centres(core: &Core, plan: &GatherPlan) -> Vec<Arc<str>> {
+    let targets = core.targets.load();
+    let mut counts: Vec<(Arc<str>, usize)> = Vec::new();
+    for shard in &plan.shards {
+        for target in targets.targets_of(shard) {
+            let name = &target.replica.data_centre;
+            match counts.binary_search_by(|(known, _)| known.cmp(name)) {
+                Ok(at) => counts[at].1 += 1,
+                Err(at) => counts.insert(at, (Arc::clone(name), 1)),
+            }
+        }
+    }
+    let most = counts.iter().map(|(_, count)| *count).max().unwrap_or(0);
+    let least = (most as f64 * SHARDS_SHARE_MIN).ceil() as usize;
+    counts.into_iter().filter(|(_, count)| *count >= least).map(|(name, _)| name).collect()
+}
+
+async fn call(
+    gatherer: &Arc<Target>,
+    route: &Route,
+    plan: &GatherPlan,
+    req: &CallerRequest,
+    is_repeat: bool,
+) -> Result<GatherReply, DelegateError> {
+    let usual = Duration::from_millis(route.goal_ms).mul_f64(USUAL_GOAL_SHARE);
+    let mut running = Running::begin(Arc::clone(gatherer), now(), usual);
+    let result = exchange(gatherer, message(route, plan, req, is_repeat)).await;
+    running.end(now(), match &result {
+        Ok(_) => ExchangeEnd::Answered,
+        Err(DelegateError::OtherPlan) => ExchangeEnd::Shed,
+        Err(_) => ExchangeEnd::Unreachable,
+    });
+    result
+}
+
+async fn exchange(gatherer: &Arc<Target>, body: Bytes) -> Result<GatherReply, DelegateError> {
+    let accept_by = tokio::time::Instant::now() + ACCEPT_TIMEOUT;
+    loop {
+        let connecting = async {
+            match Connection::reuse(gatherer).await {
+                Some(connection) => Some(connection),
+                None => Connection::open(gatherer).await,
+            }
+        };
+        let connection = tokio::time::timeout_at(accept_by, connecting).await;
+        let mut connection = connection.ok().flatten().ok_or(DelegateError::NotSent)?;
+        let mut message = Request::new(Full::new(body.clone()));
+        *message.method_mut() = Method::POST;
+        *message.uri_mut() = hyper::Uri::from_static(GATHER_PATH);
+        let head = tokio::time::timeout_at(accept_by, connection.sender.try_send_request(message)).await;
+        let res = match head.map_err(|_| DelegateError::NotAccepted)? {
+            Ok(res) => res,
+            Err(mut error) => {
+                if error.take_message().is_some() {
+                    continue;
+                }
+                return Err(DelegateError::Broken);
+            }
+        };
+        let status = res.status();
+        let body = res.into_body().collect().await.map_err(|_| DelegateError::Broken)?.to_bytes();
+        connection.keep(gatherer);
+        return match status {
+            StatusCode::OK => egret_wire::decode(&body).map_err(|_| DelegateError::Broken),
+            _ => Err(DelegateError::OtherPlan),
+        };
+    }
+}
+
+fn message(route: &Route, plan: &GatherPlan, req: &CallerRequest, is_repeat: bool) -> Bytes {
+    let headers = req.headers.iter();
+    let headers =
+        headers.map(|(name, value)| (name.as_str().to_owned(), Bytes::copy_from_slice(value.as_bytes())));
+    let call = GatherCall {
+        route: Arc::clone(&route.name),
+        plan: plan.fingerprint(),
+        method: req.method.as_str().to_owned(),
+        path: req.path().to_owned(),
+        headers: headers.collect(),
+        body: req.body.clone(),
+        deadline_ms: req.deadline.as_millis() as u64,
+        age_ms: now().saturating_duration_since(req.arrived_at).as_millis() as u64,
+        is_repeat,
+    };
+    egret_wire::encode(&call).into()
+}
+
+fn now() -> Instant {
+    tokio::time::Instant::now().into_std()
+}
--- a/crates/front/src/fan.rs
+++ b/crates/front/src/fan.rs
@@ -43,6 +43,8 @@
     /// Whether a request may run again after a copy of it was lost.
     pub(crate) repeats: bool,
     pub(crate) usual: Duration,
+    /// Whether another host may have asked targets already, so that first copies are extra.
+    pub(crate) is_repeat: bool,
 }
 
 /// One copy of a request that ended.
@@ -120,17 +122,30 @@
     }
 }
 
+impl FanEnd {
+    /// Returns what happened, for logs.
+    pub(crate) fn summary(&self) -> String {
+        let loss = self.last_loss.map_or_else(|| "none".to_owned(), |cause| cause.to_string());
+        let signed = self.failure.as_ref().map_or(0, |answer| answer.status.as_u16());
+        format!(
+            "{} without target, {} extra copies, may have run: {}, last failure of a target: {signed}, \
+             last loss: {loss}",
+            self.without_target, self.extra, self.may_have_run
+        )
+    }
+}
+
 impl Fan<'_> {
     /// Chooses the target of a first copy, or of a repeat after a failure.
     fn next_copy(&mut self, shard: usize) -> Option<Arc<Target>> {
         let service = &self.services[shard];
-        let target = self.core.targets.load().pick(now(), service, &self.tried[shard], true);
+        let target = self.core.targets.load().pick(now(), &[service], &self.tried[shard], true);
         let Some(target) = target else {
             self.end.without_target += u32::from(self.arrived[shard] == 0);
             self.progress.give_up_shard(shard);
             return None;
         };
-        if self.arrived[shard] == 0 {
+        if self.arrived[shard] == 0 && !self.rules.is_repeat {
             self.core.earn(now(), service);
         } else if !self.core.spend(now(), service) {
             self.progress.give_up_shard(shard);
@@ -145,7 +160,7 @@
     /// Chooses the target of a second copy beside one that still runs.
     fn hedge(&mut self, shard: usize) -> Option<Arc<Target>> {
         let service = &self.services[shard];
-        let target = self.core.targets.load().pick(now(), service, &self.tried[shard], false)?;
+        let target = self.core.targets.load().pick(now(), &[service], &self.tried[shard], false)?;
         if !self.core.spend(now(), service) {
             return None;
         }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -16,9 +16,11 @@
 use crate::{
     Options, Store,
     beliefs::Beliefs,
-    caller_server::CallerServer,
+    caller_connection,
     core::Core,
+    gather_site,
     gossip::{Gossip, NewsSite},
+    listener::Listener,
     reader,
     ready::ReadySite,
 };
@@ -41,7 +43,8 @@
 #[derive(Debug)]
 pub struct Front {
     core: Arc<Core>,
-    callers: CallerServer,
+    callers: Listener,
+    gathers: Listener,
     _ready: HttpServer,
     _control: HttpServer,
     gossip: Gossip,
@@ -60,19 +63,30 @@
     ) -> Result<Self, FrontError> {
         let core = Arc::new(Core::new(options));
         let options = &core.options;
-        let own = Member::new(options.control, Arc::clone(&options.data_centre), unix_ms());
+        let own = Member {
+            millicores: options.millicores,
+            ..Member::new(options.control, Arc::clone(&options.data_centre), unix_ms())
+        };
         let beliefs = Beliefs::new(Arc::clone(&core), Membership::new(now(), own));
-        let gossip = Gossip::new(beliefs, HttpClient::open_at(1, options.control), options.seeds.clone());
+        let gossip = Gossip::new(Arc::clone(&core), beliefs, HttpClient::open_at(1, options.control), options.seeds.clone());
         let control = Handle::current();
         let limits = HttpLimits::internal();
         let site = NewsSite(gossip.clone());
         let control_server = bind(&control, options.control, limits, site).await?;
         let ready = bind(&control, options.ready, HttpLimits::default(), ReadySite(Arc::clone(&core))).await?;
         let address = options.callers;
-        let callers = {
+        let (callers, gathers) = {
             let _guard = traffic.enter();
-            CallerServer::bind(Arc::clone(&core), address)
-                .map_err(|source| FrontError { address, source })?
+            let shared = Arc::clone(&core);
+            let callers = Listener::bind(address, move |stream, closing| {
+                caller_connection::serve(Arc::clone(&shared), stream, closing)
+            });
+            let shared = Arc::clone(&core);
+            let gathers = Listener::bind(options.gathers, move |stream, closing| {
+                gather_site::serve(Arc::clone(&shared), stream, closing)
+            });
+            let error = |address| move |source| FrontError { address, source };
+            (callers.map_err(error(address))?, gathers.map_err(error(options.gathers))?)
         };
         let store = Arc::new(store);
         let tasks = vec![
@@ -82,7 +96,7 @@
             tokio::spawn(reader::follow_replicas(store, gossip.clone())),
         ];
         log_decision(Code::Started, "", &format!("{} listens on {address}", options.host));
-        Ok(Self { core, callers, _ready: ready, _control: control_server, gossip, tasks })
+        Ok(Self { core, callers, gathers, _ready: ready, _control: control_server, gossip, tasks })
     }
 
     /// Asks other hosts first from now on.
@@ -98,7 +112,7 @@
         self.gossip.leave().await;
         tokio::time::sleep_until(started_at + NOTICE).await;
         let until = started_at + self.core.options.grace.saturating_sub(END_RESERVE);
-        self.callers.drain(until).await;
+        tokio::join!(self.callers.drain(until), self.gathers.drain(until));
         for task in &self.tasks {
             task.abort();
         }
--- /dev/null
+++ b/crates/front/src/gather_call.rs
@@ -0,0 +1,44 @@
+//! The request of one host to another to gather, and its answer.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use egret_model::{Fingerprint, record};
+
+record! {
+    /// A caller's request, for the host that asks the targets.
+    pub struct GatherCall {
+        /// The route.
+        pub route: Arc<str>,
+        /// The plan that the sender goes by; the receiver must go by the same.
+        pub plan: Fingerprint,
+        /// The method.
+        pub method: String,
+        /// Path and query, as the caller sent them.
+        pub path: String,
+        /// Names and values of the headers that go on.
+        pub headers: Vec<(String, Bytes)>,
+        /// The body.
+        pub body: Bytes,
+        /// Milliseconds for which the caller waits, from its request's arrival.
+        pub deadline_ms: u64,
+        /// Milliseconds that have passed since then.
+        pub age_ms: u64,
+        /// Whether another host may have asked targets for this request already.
+        pub is_repeat: bool,
+    }
+}
+
+record! {
+    /// What came of a gather.
+    pub struct GatherReply {
+        /// Whether enough parts are in for an answer.
+        pub is_enough: bool,
+        /// Whether a target may have run the request.
+        pub may_have_run: bool,
+        /// The receipts of the parts that are in.
+        pub receipts: Vec<Bytes>,
+        /// The greatest records of these parts.
+        pub records: Bytes,
+    }
+}
--- /dev/null
+++ b/crates/front/src/gather_site.rs
@@ -0,0 +1,128 @@
+//! Gathers for other hosts.
+
+use std::{convert::Infallible, sync::Arc, time::{Duration, Instant}};
+
+use bytes::Bytes;
+use egret_routes::{Backend, GatherPlan, Route, RouteTable};
+use futures_util::stream;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited, StreamBody, combinators::UnsyncBoxBody};
+use hyper::{
+    HeaderMap, Request, Response, StatusCode,
+    body::{Frame, Incoming},
+    header::{HeaderName, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, sync::watch};
+
+use crate::{
+    caller_request::{CallerRequest, fingerprint_of},
+    core::Core,
+    delegate::GATHER_PATH,
+    gather::run_gather,
+    gather_call::{GatherCall, GatherReply},
+};
+
+/// Bytes of another host's message, at most: a caller's body and headers fit.
+const MESSAGE_BYTES_MAX: usize = 16 << 20;
+
+type SiteReply = Response<UnsyncBoxBody<Bytes, Infallible>>;
+
+/// Serves a connection of another host until it ends, or until `closing` becomes true and it is idle.
+pub(crate) async fn serve(core: Arc<Core>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
+    let service = service_fn(move |req| {
+        let core = Arc::clone(&core);
+        async move { Ok::<_, Infallible>(respond(core, req).await) }
+    });
+    let connection =
+        http1::Builder::new().header_read_timeout(None).serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        // The other host sees how its connection ends; there is nobody else to tell.
+        _ = connection.as_mut() => return,
+        Ok(()) = closing.changed() => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
+
+async fn respond(core: Arc<Core>, req: Request<Incoming>) -> SiteReply {
+    if req.uri().path() != GATHER_PATH {
+        return plain(StatusCode::NOT_FOUND, "only gathers are served here\n");
+    }
+    let body = match Limited::new(req.into_body(), MESSAGE_BYTES_MAX).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) if error.is::<LengthLimitError>() => {
+            return plain(StatusCode::PAYLOAD_TOO_LARGE, "the message is too large\n");
+        }
+        Err(_) => return plain(StatusCode::BAD_REQUEST, "the message broke off\n"),
+    };
+    let Some((call, req)) = decode(&core, &body) else {
+        return plain(StatusCode::BAD_REQUEST, "the message cannot be read: check the sender's version\n");
+    };
+    let Some(table) = core.table.load_full().filter(|table| find(table, &call).is_some()) else {
+        return plain(StatusCode::CONFLICT, "another configuration is in force here\n");
+    };
+    // The head goes out at once and tells the sender that the request is taken; the gather
+    // runs as the body is written, and ends when the sender closes the connection.
+    let gathered = async move {
+        let reply = match find(&table, &call) {
+            Some((route, plan)) => gather(&core, route, plan, &call, req).await,
+            None => GatherReply { is_enough: false, may_have_run: false, receipts: vec![], records: Bytes::new() },
+        };
+        Ok::<_, Infallible>(Frame::data(Bytes::from(egret_wire::encode(&reply))))
+    };
+    Response::new(StreamBody::new(stream::once(gathered)).boxed_unsync())
+}
+
+async fn gather(
+    core: &Arc<Core>,
+    route: &Route,
+    plan: &GatherPlan,
+    call: &GatherCall,
+    req: CallerRequest,
+) -> GatherReply {
+    if core.suspects().is_poison(now(), req.fingerprint) {
+        return GatherReply { is_enough: false, may_have_run: false, receipts: vec![], records: Bytes::new() };
+    }
+    run_gather(core, route, plan, &Arc::new(req), call.is_repeat).await
+}
+
+fn find<'a>(table: &'a RouteTable, call: &GatherCall) -> Option<(&'a Route, &'a GatherPlan)> {
+    let route = table.named(&call.route)?;
+    match &route.backend {
+        Backend::Gather(plan) if plan.fingerprint() == call.plan => Some((route, plan)),
+        _ => None,
+    }
+}
+
+fn decode(core: &Core, body: &[u8]) -> Option<(GatherCall, CallerRequest)> {
+    let call: GatherCall = egret_wire::decode(body).ok()?;
+    let mut headers = HeaderMap::with_capacity(call.headers.len());
+    for (name, value) in &call.headers {
+        headers.append(name.parse::<HeaderName>().ok()?, HeaderValue::from_bytes(value).ok()?);
+    }
+    let uri: hyper::Uri = call.path.parse().ok()?;
+    let req = CallerRequest {
+        id: headers.get(&core.options.headers.request_id)?.clone(),
+        method: call.method.parse().ok()?,
+        host: String::new(),
+        headers,
+        body: call.body.clone(),
+        arrived_at: now().checked_sub(Duration::from_millis(call.age_ms))?,
+        deadline: Duration::from_millis(call.deadline_ms),
+        fingerprint: fingerprint_of(&uri, &call.body),
+        uri,
+    };
+    Some((call, req))
+}
+
+fn plain(status: StatusCode, text: &'static str) -> SiteReply {
+    let mut reply = Response::new(Full::new(Bytes::from_static(text.as_bytes())).boxed_unsync());
+    *reply.status_mut() = status;
+    reply
+}
+
+fn now() -> Instant {
+    tokio::time::Instant::now().into_std()
+}
--- a/crates/front/src/gossip.rs
+++ b/crates/front/src/gossip.rs
@@ -2,43 +2,59 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
+use egret_events::{Code, log_decision};
 use egret_members::News;
 use egret_node::{Call, HttpClient, Reply, Site};
 use tokio::sync::Notify;
 
-use crate::{beliefs::Beliefs, core::lock};
+use crate::{
+    beliefs::Beliefs,
+    core::{Core, lock},
+};
 
 /// The path that takes other hosts' messages.
 const NEWS_PATH: &str = "/v1/news";
 /// The time between two exchanges that a host begins.
-const GOSSIP_INTERVAL: Duration = Duration::from_millis(1000);
+const GOSSIP_INTERVAL: Duration = Duration::from_millis(700);
+/// The time over which this host's load is averaged; gatherers must not change with each burst.
+const LOAD_INTERVAL: Duration = Duration::from_secs(3);
 /// The time between two rounds while a host knows no other.
 const SEED_INTERVAL: Duration = Duration::from_millis(250);
 /// Peers that are told at once of what traffic goes by; three reach a fleet in a few steps.
 const PUSH_PEERS: usize = 3;
+/// The least time between two such rounds; changes that come in series go together.
+const PUSH_INTERVAL: Duration = Duration::from_millis(200);
 /// How long a peer may take; longer than a busy host needs, shorter than a suspicion.
 const PEER_TIMEOUT: Duration = Duration::from_millis(900);
-/// The share of rounds that go to a seed, so that parts of a fleet find each other again.
-const SEED_SHARE: f64 = 0.1;
+/// The share of rounds that go to a seed or a lost host, so that parts of a fleet find each
+/// other again.
+const SEED_SHARE: f64 = 0.06;
 
 /// What the control thread's tasks share.
 #[derive(Clone, Debug)]
 pub(crate) struct Gossip {
     pub(crate) beliefs: Arc<Mutex<Beliefs>>,
     pub(crate) news: Arc<Notify>,
+    is_catching_up: Arc<AtomicBool>,
+    core: Arc<Core>,
     client: HttpClient,
     seeds: Arc<Mutex<Vec<SocketAddr>>>,
 }
 
 impl Gossip {
-    pub(crate) fn new(beliefs: Beliefs, client: HttpClient, seeds: Vec<SocketAddr>) -> Self {
+    pub(crate) fn new(core: Arc<Core>, beliefs: Beliefs, client: HttpClient, seeds: Vec<SocketAddr>) -> Self {
         Self {
             beliefs: Arc::new(Mutex::new(beliefs)),
             news: Arc::default(),
+            is_catching_up: Arc::default(),
+            core,
             client,
             seeds: Arc::new(Mutex::new(seeds)),
         }
@@ -50,11 +66,19 @@
 
     /// Exchanges messages with a random host, round after round.
     pub(crate) async fn run(self) {
-        loop {
-            let peer = self.next_peer();
+        let mut counted_at = now();
+        let mut parts_per_s = 0;
+        for round in 0_u64.. {
+            let elapsed = now().saturating_duration_since(counted_at);
+            if elapsed >= LOAD_INTERVAL {
+                counted_at = now();
+                parts_per_s = (self.core.take_parts() as f64 / elapsed.as_secs_f64()) as u32;
+            }
+            let peer = self.next_peer(round, parts_per_s);
             if let Some(peer) = peer {
                 self.exchange(peer).await;
             }
+            lock(&self.beliefs).choose_gatherers(now());
             let is_alone = lock(&self.beliefs).membership.size() == 1;
             let interval = if is_alone { SEED_INTERVAL } else { GOSSIP_INTERVAL };
             tokio::time::sleep(interval.mul_f64(0.75 + 0.5 * fastrand::f64())).await;
@@ -70,6 +94,7 @@
                 let gossip = self.clone();
                 tokio::spawn(async move { gossip.exchange(peer).await });
             }
+            tokio::time::sleep(PUSH_INTERVAL).await;
         }
     }
 
@@ -85,16 +110,25 @@
         }
     }
 
-    fn next_peer(&self) -> Option<SocketAddr> {
-        let drawn = {
+    /// Chooses whom to ask: by turns any live host, so that lost ones are noticed, and a
+    /// host that reads the store, for the age of its news.
+    fn next_peer(&self, round: u64, parts_per_s: u32) -> Option<SocketAddr> {
+        let now = now();
+        let (own, drawn, lost, readers) = {
             let mut beliefs = lock(&self.beliefs);
-            beliefs.membership.beat(now());
-            beliefs.membership.draw(now(), 1).pop()
+            beliefs.membership.refresh(now, parts_per_s);
+            let membership = &beliefs.membership;
+            let drawn = membership.draw(now, 1).pop();
+            (membership.own().address, drawn, membership.draw_lost(now), beliefs.readers(now))
         };
-        match drawn {
-            Some(peer) if fastrand::f64() >= SEED_SHARE => Some(peer),
-            _ => self.draw_seed().or(drawn),
+        if drawn.is_none() || fastrand::f64() < SEED_SHARE {
+            let seed = self.draw_seed();
+            return if fastrand::bool() { seed.or(lost) } else { lost.or(seed) }.or(drawn);
         }
+        if round.is_multiple_of(2) && !readers.contains(&own) {
+            return fastrand::choice(readers).or(drawn);
+        }
+        drawn
     }
 
     fn draw_seed(&self) -> Option<SocketAddr> {
@@ -103,20 +137,38 @@
         fastrand::choice(others)
     }
 
+    /// Tells a host how far this one has come, and takes what this one lacks.
     async fn exchange(&self, peer: SocketAddr) {
-        let message = lock(&self.beliefs).news_for(now(), Some(peer));
+        let message = lock(&self.beliefs).news(now());
         let answer = self.client.post_packed::<News>(peer, NEWS_PATH, &message, PEER_TIMEOUT).await;
-        // A peer that does not answer is not told of anything; its counter stands still.
-        let Ok(answer) = answer else { return };
         let is_news = {
             let mut beliefs = lock(&self.beliefs);
-            beliefs.told(peer, &message);
-            beliefs.take_news(now(), answer)
+            match answer {
+                Ok(answer) => beliefs.take_news(now(), answer),
+                Err(error) => {
+                    if beliefs.membership.suspect(now(), peer) {
+                        log_decision(Code::HostSuspected, "", &format!("{peer}: {error}"));
+                    }
+                    false
+                }
+            }
         };
         if is_news {
             self.news.notify_one();
         }
     }
+
+    /// Asks a host for what this one lacks, unless it asks already.
+    fn catch_up(&self, peer: SocketAddr) {
+        if self.is_catching_up.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        let gossip = self.clone();
+        tokio::spawn(async move {
+            gossip.exchange(peer).await;
+            gossip.is_catching_up.store(false, Ordering::SeqCst);
+        });
+    }
 }
 
 /// Takes other hosts' messages.
@@ -132,17 +184,15 @@
             return Reply::text(400, "the message cannot be read: check the sender's version\n");
         };
         let sender = news.members.first().map(|member| member.address);
-        let (answer, is_news) = {
+        let (answer, is_behind) = {
             let mut beliefs = lock(&self.0.beliefs);
-            let is_news = beliefs.take_news(now(), news);
-            let answer = beliefs.news_for(now(), sender);
-            if let Some(sender) = sender {
-                beliefs.told(sender, &answer);
-            }
-            (answer, is_news)
+            let answer = beliefs.answer_to(now(), &news);
+            let is_behind = beliefs.is_behind(&news);
+            beliefs.take_news(now(), news);
+            (answer, is_behind)
         };
-        if is_news {
-            self.0.news.notify_one();
+        if let Some(sender) = sender.filter(|_| is_behind) {
+            self.0.catch_up(sender);
         }
         Reply::packed(&answer)
     }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -6,12 +6,14 @@
 //!
 //! The path of a request:
 //!
-//! 1. `caller_server` and `caller_connection` take connections and bound what callers may send;
+//! 1. `listener` and `caller_connection` take connections and bound what callers may send;
 //! 2. `caller_request` reads a request whole, `answer` finds its route;
-//! 3. `fan` asks one replica of each service that the route needs, with the decisions of
+//! 3. a request for many shards goes to a host near their targets, a gatherer: `delegate`
+//!    sends it, `gather_site` takes it there;
+//! 4. `fan` asks one replica of each service that the route needs, with the decisions of
 //!    `egret_policy`: which replica, when a second copy goes out, when to answer or give up;
-//! 4. `exchange` sends one request over one `connection` to one `target`;
-//! 5. `reply` writes the answer, or the refusal.
+//! 5. `exchange` sends one request over one `connection` to one `target`;
+//! 6. `reply` writes the answer, or the refusal.
 //!
 //! On the control thread, `reader` follows the store where this host is a reader, `gossip`
 //! tells other hosts, and `beliefs` holds what this host knows. docs/PLATFORM.md says
@@ -21,15 +23,19 @@
 mod beliefs;
 mod caller_connection;
 mod caller_request;
-mod caller_server;
 mod connection;
 mod core;
+mod delegate;
 mod exchange;
 mod fan;
 mod front;
+mod gather;
+mod gather_call;
+mod gather_site;
 mod gossip;
 mod header_names;
 mod lapse_guard;
+mod listener;
 mod options;
 mod reader;
 mod ready;
--- a/crates/front/src/caller_server.rs
+++ b/crates/front/src/listener.rs
@@ -1,4 +1,4 @@
-//! The address where callers connect.
+//! An address that takes connections.
 
 use std::{
     io,
@@ -10,18 +10,22 @@
     time::Duration,
 };
 
-use tokio::{net::TcpListener, sync::watch, task::JoinHandle, time::Instant};
-
-use crate::{caller_connection, core::Core};
+use egret_events::{Code, log_decision};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task::JoinHandle,
+    time::Instant,
+};
 
 const BACKLOG_CONNECTIONS: i32 = 1024;
 /// How long to wait after the system had no descriptor for a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 const STOP_POLL: Duration = Duration::from_millis(10);
 
-/// A running server for callers.
+/// An address that takes connections, each served by a task of its own.
 #[derive(Debug)]
-pub(crate) struct CallerServer {
+pub(crate) struct Listener {
     closing: watch::Sender<bool>,
     open: Arc<AtomicUsize>,
     accepting: JoinHandle<()>,
@@ -35,13 +39,19 @@
     }
 }
 
-impl CallerServer {
-    /// Listens for callers; must be called on the traffic runtime.
-    pub(crate) fn bind(core: Arc<Core>, address: SocketAddr) -> io::Result<Self> {
+impl Listener {
+    /// Listens on the current runtime; `serve` gets each connection, and the sign to end it.
+    pub(crate) fn bind<F>(
+        address: SocketAddr,
+        serve: impl Fn(TcpStream, watch::Receiver<bool>) -> F + Send + 'static,
+    ) -> io::Result<Self>
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
         let listener = listen(address)?;
         let (closing, closed) = watch::channel(false);
         let open = Arc::new(AtomicUsize::new(0));
-        let accepting = tokio::spawn(accept(core, listener, closed, Arc::clone(&open)));
+        let accepting = tokio::spawn(accept(listener, closed, Arc::clone(&open), serve));
         Ok(Self { closing, open, accepting })
     }
 
@@ -55,28 +65,31 @@
     }
 }
 
-async fn accept(
-    core: Arc<Core>,
+async fn accept<F>(
     listener: TcpListener,
     closing: watch::Receiver<bool>,
     open: Arc<AtomicUsize>,
-) {
+    serve: impl Fn(TcpStream, watch::Receiver<bool>) -> F + Send + 'static,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 if stream.set_nodelay(true).is_err() {
+                    // The peer is gone already.
                     continue;
                 }
                 open.fetch_add(1, Ordering::SeqCst);
                 let counted = Counted(Arc::clone(&open));
-                let serving = caller_connection::serve(Arc::clone(&core), stream, closing.clone());
+                let serving = serve(stream, closing.clone());
                 tokio::spawn(async move {
                     serving.await;
                     drop(counted);
                 });
             }
             Err(error) => {
-                egret_events::log_decision(egret_events::Code::AcceptFailed, "", &error.to_string());
+                log_decision(Code::AcceptFailed, "", &error.to_string());
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
--- a/crates/front/src/options.rs
+++ b/crates/front/src/options.rs
@@ -19,6 +19,11 @@
     pub ready: SocketAddr,
     /// Where other hosts send their messages.
     pub control: SocketAddr,
+    /// Where other hosts send the gathers that this one runs for them; the port is the
+    /// same on all hosts.
+    pub gathers: SocketAddr,
+    /// Processor time that this host may use, in thousandths of a core.
+    pub millicores: u32,
     /// Control addresses of hosts to ask first; they may be stale.
     pub seeds: Vec<SocketAddr>,
     /// What all hosts together may send beyond the first copy of each request.
--- a/crates/front/src/reader.rs
+++ b/crates/front/src/reader.rs
@@ -18,7 +18,7 @@
 /// How long a watch waits; its end confirms that nothing changed.
 const WATCH_WAIT: Duration = Duration::from_millis(1000);
 /// The pause after a watch that brought changes, so that a burst of them is one call.
-const COALESCE: Duration = Duration::from_millis(100);
+const COALESCE: Duration = Duration::from_millis(200);
 /// The pause after a failed call, doubled with each further one.
 const RETRY_FIRST: Duration = Duration::from_millis(200);
 const RETRY_DOUBLINGS_MAX: u32 = 2;
--- a/crates/front/src/target_set.rs
+++ b/crates/front/src/target_set.rs
@@ -67,15 +67,16 @@
         }
     }
 
-    /// Returns the best target that was not tried yet; an avoided one only where `or_avoided`.
+    /// Returns the best target of some services that was not tried yet; an avoided one only where `or_avoided`.
     pub(crate) fn pick(
         &self,
         now: Instant,
-        service: &str,
+        services: &[&str],
         tried: &[Arc<str>],
         or_avoided: bool,
     ) -> Option<Arc<Target>> {
-        let untried = self.targets_of(service).iter().filter(|target| !tried.contains(&target.replica.id));
+        let all = services.iter().flat_map(|service| self.targets_of(service));
+        let untried = all.filter(|target| !tried.contains(&target.replica.id));
         let rank = |target: &Arc<Target>| {
             let distance = if target.is_local { 1.0 } else { REMOTE_FACTOR };
             let jitter = 1.0 + JITTER * fastrand::f64();
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -1,19 +1,20 @@
 //! Which hosts live, and what they tell each other: no I/O.
 //!
-//! There is no host list to read. A host asks the seeds of its settings, and from then on
-//! every exchange carries some members, each with a counter that only its own host
-//! advances. A member whose counter stands still for a while counts as lost:
+//! There is no host list to read. A host asks the seeds of its settings, and is introduced
+//! to the others. A member counts as live until it does not answer somebody and does not
+//! contradict within a while:
 //!
 //! ```
-//! use std::time::{Duration, Instant};
-//! use egret_members::{Member, Membership, SUSPECT_AFTER};
+//! use std::time::Instant;
+//! use egret_members::{Member, Membership, SUSPECT_FOR};
 //!
 //! let now = Instant::now();
 //! let member = |ip: &str| Member::new(ip.parse().unwrap(), "seeb", 1);
 //! let mut membership = Membership::new(now, member("10.0.0.1:80"));
 //! membership.learn(now, &member("10.0.0.2:80"));
 //! assert_eq!(membership.live(now).count(), 2);
-//! assert_eq!(membership.live(now + SUSPECT_AFTER).count(), 1);
+//! membership.suspect(now, "10.0.0.2:80".parse().unwrap());
+//! assert_eq!(membership.live(now + SUSPECT_FOR).count(), 1);
 //! ```
 //!
 //! [`News`] is the one message between hosts: members, configuration, replicas, and
@@ -22,7 +23,9 @@
 mod member;
 mod membership;
 mod news;
+mod standing;
 
 pub use member::Member;
-pub use membership::{FORGET_AFTER, Membership, SUSPECT_AFTER};
+pub use membership::{FORGET_AFTER, Membership, SUSPECT_FOR};
 pub use news::News;
+pub use standing::Standing;
--- a/crates/members/src/member.rs
+++ b/crates/members/src/member.rs
@@ -4,6 +4,8 @@
 
 use egret_model::record;
 
+use crate::Standing;
+
 record! {
     /// One run of one host.
     #[derive(Eq)]
@@ -12,12 +14,14 @@
         pub address: SocketAddr,
         /// Its data centre.
         pub data_centre: Arc<str>,
-        /// The run; a later one is greater.
+        /// Orders what is said of the host; only the host itself raises it.
         pub incarnation: u64,
-        /// Advanced by the host itself while it runs.
-        pub beat: u64,
-        /// Whether it shuts down.
-        pub leaving: bool,
+        /// What is believed of it.
+        pub standing: Standing,
+        /// Processor time that it may use, in thousandths of a core.
+        pub millicores: u32,
+        /// Parts of gathers that it asks targets for, a second; a rough figure.
+        pub parts_per_s: u32,
     }
 }
 
@@ -25,10 +29,17 @@
     /// Creates a member that just started.
     #[must_use]
     pub fn new(address: SocketAddr, data_centre: impl Into<Arc<str>>, incarnation: u64) -> Self {
-        Self { address, data_centre: data_centre.into(), incarnation, beat: 0, leaving: false }
+        Self {
+            address,
+            data_centre: data_centre.into(),
+            incarnation,
+            standing: Standing::Live,
+            millicores: 0,
+            parts_per_s: 0,
+        }
     }
 
-    pub(crate) fn is_newer_than(&self, other: &Self) -> bool {
-        (self.incarnation, self.beat) > (other.incarnation, other.beat)
+    pub(crate) fn overrides(&self, other: &Self) -> bool {
+        (self.incarnation, self.standing) > (other.incarnation, other.standing)
     }
 }
--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -5,22 +5,45 @@
     time::{Duration, Instant},
 };
 
-use crate::Member;
+use crate::{Member, Standing};
 
-/// A member without news for this long counts as lost: a few gossip rounds.
-pub const SUSPECT_AFTER: Duration = Duration::from_secs(5);
-/// A member without news for this long is forgotten; longer than any bound that counts hosts.
+/// How long a suspect has to show that it lives: a few gossip rounds.
+pub const SUSPECT_FOR: Duration = Duration::from_millis(2500);
+/// A member that is gone for this long is forgotten; longer than any bound that counts hosts.
 pub const FORGET_AFTER: Duration = Duration::from_secs(60);
-/// Members that one message carries, so that its size does not grow with the fleet.
-const TOLD_MAX: usize = 24;
+/// Members that a message carries because they are news.
+const NEWS_MAX: usize = 8;
+/// Members that an answer carries for a host that knows fewer.
+const INTRODUCED_MAX: usize = 24;
+/// How often a piece of news is told, as a multiple of the logarithm of the fleet's size.
+const TOLD_FACTOR: u32 = 3;
+/// A host tells its load again when it changed by this factor.
+const LOAD_FACTOR: f64 = 1.5;
 
 #[derive(Clone, Debug)]
 struct Peer {
     member: Member,
-    heard_at: Instant,
+    /// When its standing changed.
+    since: Instant,
+    /// How often this host may still tell it as news.
+    to_tell: u32,
+}
+
+impl Peer {
+    fn is_live(&self, now: Instant) -> bool {
+        match self.member.standing {
+            Standing::Live => true,
+            Standing::Suspect => now.saturating_duration_since(self.since) < SUSPECT_FOR,
+            Standing::Gone => false,
+        }
+    }
 }
 
 /// The hosts that this host has heard of.
+///
+/// A member counts as live until somebody who asked it got no answer. The suspicion is
+/// told on; the suspect hears of it and raises its incarnation, or counts as gone.
+/// Messages carry news only, so their size does not grow with the fleet.
 #[derive(Clone, Debug)]
 pub struct Membership {
     own: Member,
@@ -42,39 +65,60 @@
         &self.own
     }
 
-    /// Advances this host's counter and forgets hosts that were lost long ago.
-    pub fn beat(&mut self, now: Instant) {
-        self.own.beat += 1;
-        self.peers.retain(|peer| now.saturating_duration_since(peer.heard_at) < FORGET_AFTER);
+    /// Takes this host's load, and forgets hosts that are gone for long.
+    pub fn refresh(&mut self, now: Instant, parts_per_s: u32) {
+        let (old, new) = (f64::from(self.own.parts_per_s.max(1)), f64::from(parts_per_s.max(1)));
+        if new > old * LOAD_FACTOR || old > new * LOAD_FACTOR {
+            self.own.parts_per_s = parts_per_s;
+            self.own.incarnation += 1;
+        }
+        let is_kept = |peer: &Peer| {
+            peer.member.standing == Standing::Live || now.saturating_duration_since(peer.since) < FORGET_AFTER
+        };
+        self.peers.retain(is_kept);
     }
 
     /// Tells the others that this host shuts down.
     pub fn leave(&mut self) {
-        self.own.leaving = true;
-        self.own.beat += 1;
+        self.own.standing = Standing::Gone;
+    }
+
+    /// Notes that a host did not answer; returns whether it was not doubted before.
+    pub fn suspect(&mut self, now: Instant, address: SocketAddr) -> bool {
+        let to_tell = self.times_to_tell();
+        let Ok(at) = self.find(address) else { return false };
+        let peer = &mut self.peers[at];
+        if peer.member.standing != Standing::Live {
+            return false;
+        }
+        peer.member.standing = Standing::Suspect;
+        peer.since = now;
+        peer.to_tell = to_tell;
+        true
     }
 
     /// Takes what another host says of a member; returns whether it is a new one.
     ///
-    /// Where others know a later run under this host's address, this run takes a greater
-    /// incarnation: a clock that was set back must not silence it.
+    /// Where this host itself is doubted, or an earlier run had a greater incarnation, it
+    /// raises its own: a clock that was set back must not silence it.
     pub fn learn(&mut self, now: Instant, member: &Member) -> bool {
         if member.address == self.own.address {
-            if member.incarnation > self.own.incarnation {
+            if member.overrides(&self.own) {
                 self.own.incarnation = member.incarnation + 1;
             }
             return false;
         }
-        match self.peers.binary_search_by_key(&member.address, |peer| peer.member.address) {
+        let to_tell = self.times_to_tell();
+        let heard = Peer { member: member.clone(), since: now, to_tell };
+        match self.find(member.address) {
             Ok(at) => {
-                let peer = &mut self.peers[at];
-                if member.is_newer_than(&peer.member) {
-                    *peer = Peer { member: member.clone(), heard_at: now };
+                if member.overrides(&self.peers[at].member) {
+                    self.peers[at] = heard;
                 }
                 false
             }
             Err(at) => {
-                self.peers.insert(at, Peer { member: member.clone(), heard_at: now });
+                self.peers.insert(at, heard);
                 true
             }
         }
@@ -98,27 +142,50 @@
         fastrand::choose_multiple(live, max)
     }
 
-    /// Returns the members for a message: this host, and some others with recent news.
+    /// Draws a peer that seems lost; it may be back, or behind a partition that is healed.
     #[must_use]
-    pub fn told(&self, now: Instant) -> Vec<Member> {
-        let others: Vec<Member> = self.live_peers(now).cloned().collect();
+    pub fn draw_lost(&self, now: Instant) -> Option<SocketAddr> {
+        let lost = self.peers.iter().filter(|peer| !peer.is_live(now));
+        fastrand::choice(lost.map(|peer| peer.member.address).collect::<Vec<_>>())
+    }
+
+    /// Returns the members for a message: this host, and what is news.
+    #[must_use]
+    pub fn told(&mut self) -> Vec<Member> {
+        let mut news: Vec<&mut Peer> = self.peers.iter_mut().filter(|peer| peer.to_tell > 0).collect();
+        news.sort_by_key(|peer| std::cmp::Reverse(peer.to_tell));
         let mut told = vec![self.own.clone()];
-        told.extend(fastrand::choose_multiple(others, TOLD_MAX));
+        for peer in news.into_iter().take(NEWS_MAX) {
+            peer.to_tell -= 1;
+            told.push(peer.member.clone());
+        }
         told
     }
 
+    /// Returns some members for a host that knows fewer than this one.
+    #[must_use]
+    pub fn introduced(&self, known: usize) -> Vec<Member> {
+        if known >= self.size() {
+            return Vec::new();
+        }
+        fastrand::choose_multiple(self.peers.iter().map(|peer| peer.member.clone()), INTRODUCED_MAX)
+    }
+
     /// Returns how long this host runs.
     #[must_use]
     pub fn age(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.started_at)
     }
 
+    fn find(&self, address: SocketAddr) -> Result<usize, usize> {
+        self.peers.binary_search_by_key(&address, |peer| peer.member.address)
+    }
+
+    fn times_to_tell(&self) -> u32 {
+        TOLD_FACTOR * (self.size() as u32 + 1).ilog2().max(1)
+    }
+
     fn live_peers(&self, now: Instant) -> impl Iterator<Item = &Member> {
-        self.peers
-            .iter()
-            .filter(move |peer| {
-                !peer.member.leaving && now.saturating_duration_since(peer.heard_at) < SUSPECT_AFTER
-            })
-            .map(|peer| &peer.member)
+        self.peers.iter().filter(move |peer| peer.is_live(now)).map(|peer| &peer.member)
     }
 }
--- a/crates/members/src/news.rs
+++ b/crates/members/src/news.rs
@@ -10,22 +10,27 @@
 record! {
     /// One message between hosts, and its answer.
     ///
-    /// It carries what the receiver lacks as far as the sender knows, and says how far the
-    /// sender itself has come, so that the answer can carry the rest.
+    /// It says how far the sender has come, so that the answer can carry what the sender
+    /// lacks; only answers carry configurations and replicas. A receiver that is behind asks
+    /// the sender in turn.
     pub struct News {
+        /// Hosts that the sender knows, itself included.
+        pub hosts: u32,
         /// The sender first, then some other members.
         pub members: Vec<Member>,
         /// The sender's configuration; version 0 where it has none.
         pub version: Version,
         /// The store's revision up to which the sender knows every replica's changes.
         pub synced: u64,
+        /// The revision of the last change of a replica that the sender knows.
+        pub changed: u64,
         /// Milliseconds since the store last answered a host that told the sender.
         pub store_age_ms: Option<u64>,
         /// Requests that broke targets.
         pub marks: Vec<Mark>,
-        /// A configuration that the receiver may lack.
+        /// A configuration that the receiver lacks.
         pub table: Option<Arc<RouteTable>>,
-        /// Changes of replicas that the receiver may lack.
+        /// Changes of replicas that the receiver lacks.
         pub replicas: Option<RegistryDelta>,
     }
 }
--- a/crates/policy/src/reader_duty.rs
+++ b/crates/policy/src/reader_duty.rs
@@ -4,16 +4,28 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Hosts that read the store for all others, so that one may be lost or cut off.
-pub const READERS: usize = 2;
+/// Hosts that read the store for all, at least: one may be lost or cut off.
+const READERS_MIN: usize = 2;
 
-/// Tells whether a host is among the readers, by rendezvous hashing over the live hosts.
+/// Returns how many hosts of a fleet read the store for all.
+///
+/// It grows with the square root of the fleet, so that neither the store's calls nor the
+/// hosts that ask one reader grow as fast as the fleet.
+#[must_use]
+pub fn readers_of(hosts: usize) -> usize {
+    let half_root = (hosts as f64).sqrt() / 2.0;
+    (half_root.ceil() as usize).max(READERS_MIN)
+}
+
+/// Returns the readers among the live hosts, by rendezvous hashing.
 ///
 /// Hosts that disagree about who lives only cause more reads, or fewer until the age of
 /// the news makes every host read for itself.
 #[must_use]
-pub fn is_reader(own: SocketAddr, live: impl IntoIterator<Item = SocketAddr>) -> bool {
-    let score = |address: SocketAddr| xxh3_64(address.to_string().as_bytes());
-    let own_score = score(own);
-    live.into_iter().filter(|&other| other != own && score(other) > own_score).count() < READERS
+pub fn readers(live: impl IntoIterator<Item = SocketAddr>) -> Vec<SocketAddr> {
+    let score = |address: &SocketAddr| std::cmp::Reverse(xxh3_64(address.to_string().as_bytes()));
+    let mut hosts: Vec<SocketAddr> = live.into_iter().collect();
+    hosts.sort_by_cached_key(score);
+    hosts.truncate(readers_of(hosts.len()));
+    hosts
 }
--- a/crates/routes/src/gather_plan.rs
+++ b/crates/routes/src/gather_plan.rs
@@ -2,7 +2,8 @@
 
 use std::sync::Arc;
 
-use egret_model::record;
+use egret_model::{Fingerprint, record};
+use xxhash_rust::xxh3::Xxh3;
 
 record! {
     /// The shards of a route and what its answers need.
@@ -17,6 +18,19 @@
 }
 
 impl GatherPlan {
+    /// Returns a hash that tells plans apart: equal for equal shards, records and share.
+    #[must_use]
+    pub fn fingerprint(&self) -> Fingerprint {
+        let mut hash = Xxh3::new();
+        for shard in &self.shards {
+            hash.update(shard.as_bytes());
+            hash.update(&[0]);
+        }
+        hash.update(&self.top.to_le_bytes());
+        hash.update(&self.least_share.to_le_bytes());
+        Fingerprint(hash.digest())
+    }
+
     /// Returns the least number of shards that an answer needs; at least one.
     #[must_use]
     pub fn least_shards(&self) -> usize {
--- a/crates/routes/src/registry.rs
+++ b/crates/routes/src/registry.rs
@@ -11,6 +11,8 @@
     /// Sorted by identifier; entries that are gone stay as tombstones for a while.
     entries: Vec<RegistryEntry>,
     synced: u64,
+    /// The greatest revision of a change that made a difference.
+    changed: u64,
     /// The greatest revision of a tombstone that was dropped.
     pruned: u64,
 }
@@ -25,6 +27,12 @@
         self.synced
     }
 
+    /// Returns the revision of the last change that made a difference.
+    #[must_use]
+    pub fn changed(&self) -> u64 {
+        self.changed
+    }
+
     /// Declares that every change up to a revision is known.
     pub fn set_synced(&mut self, revision: u64) {
         self.synced = self.synced.max(revision);
@@ -48,6 +56,7 @@
         let at = match self.entries.binary_search_by(|known| known.id.cmp(&entry.id)) {
             Ok(at) => at,
             Err(at) => {
+                self.changed = self.changed.max(entry.revision);
                 self.entries.insert(at, entry);
                 return true;
             }
@@ -62,6 +71,9 @@
             (new, _) => new,
         };
         let changed = entry.gone != known.gone || entry.replica != known.replica;
+        if changed {
+            self.changed = self.changed.max(entry.revision);
+        }
         self.entries[at] = entry;
         changed
     }
@@ -96,6 +108,7 @@
             if !is_listed && !entry.gone && entry.revision <= delta.synced {
                 entry.gone = true;
                 entry.revision = delta.synced;
+                self.changed = self.changed.max(entry.revision);
                 changed = true;
             }
         }
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -56,6 +56,12 @@
         ends.into_iter().find_map(|end| self.route_at(host, &path[..end]))
     }
 
+    /// Returns the route of a name.
+    #[must_use]
+    pub fn named(&self, name: &str) -> Option<&Route> {
+        self.routes.iter().find(|route| *route.name == *name)
+    }
+
     /// Returns a service.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Service> {
