Read the store through one watch, and take over where others were

Ruled out: stale reads (their age adds to the bound on configuration). Change: one watch over all keys, readers by the third of the root, an introduction before the first read, positions that are told on; messages without field names.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -118,6 +118,8 @@
     GatherersChosen = 516, "gatherers chosen";
     /// A host did not answer.
     HostSuspected = 517, "host suspected";
+    /// The platform dropped the history after the last known revision.
+    StoreHistoryLost = 518, "platform history lost";
     /// Settings were read again.
     SettingsReloaded = 514, "settings read again";
     /// Settings could not be read again; the old ones stay.
--- a/crates/front/src/beliefs.rs
+++ b/crates/front/src/beliefs.rs
@@ -15,11 +15,11 @@
 use crate::core::Core;
 
 /// Without news of the store for this long, a host reads it itself: a reader's watch confirms
-/// each second, and a host asks a reader about once a second. Changes must be in force within
-/// three seconds.
-pub(crate) const STORE_AGE_MAX: Duration = Duration::from_millis(2500);
-/// How long a host that just started looks for others before it reads the store alone.
-const START_ALONE: Duration = Duration::from_millis(400);
+/// each second, and a host asks a reader each one to two seconds.
+const STORE_AGE_MAX: Duration = Duration::from_millis(3000);
+/// How long a host that just started gets to know others before it reads the store: those
+/// that run give it what they know, and of those that start with it a few will read.
+const INTRODUCTION: Duration = Duration::from_millis(900);
 /// Processor time that one gather at a time takes up while it runs, for comparing gatherers.
 const GATHER_MILLICORES: u32 = 40;
 /// Marks that one message carries.
@@ -58,15 +58,22 @@
             Some(at) => now.saturating_duration_since(at),
             None => self.membership.age(now),
         };
-        if age < START_ALONE && self.confirmed_at.is_none() && self.membership.size() == 1 {
+        if self.confirmed_at.is_none() && age < INTRODUCTION {
             return false;
         }
-        age > STORE_AGE_MAX || self.readers(now).contains(&self.membership.own().address)
+        age > STORE_AGE_MAX || self.readers().contains(&self.membership.own().address)
     }
 
     /// Returns the hosts that read the store for all.
-    pub(crate) fn readers(&self, now: Instant) -> Vec<SocketAddr> {
-        readers(self.membership.live(now).map(|member| member.address))
+    ///
+    /// One that is doubted is replaced at once; another reader does no harm.
+    pub(crate) fn readers(&self) -> Vec<SocketAddr> {
+        readers(self.membership.trusted().map(|member| member.address))
+    }
+
+    /// Returns the revision up to which everything is known, where anything is.
+    pub(crate) fn position(&self) -> Option<u64> {
+        Some(self.registry.synced()).filter(|&synced| synced > 0 && self.table.is_some())
     }
 
     /// Notes that the store answered a call that was sent then.
--- a/crates/front/src/delegate.rs
+++ b/crates/front/src/delegate.rs
@@ -175,7 +175,7 @@
         age_ms: now().saturating_duration_since(req.arrived_at).as_millis() as u64,
         is_repeat,
     };
-    egret_wire::encode(&call).into()
+    egret_wire::encode_compact(&call).into()
 }
 
 fn now() -> Instant {
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -88,12 +88,10 @@
             let error = |address| move |source| FrontError { address, source };
             (callers.map_err(error(address))?, gathers.map_err(error(options.gathers))?)
         };
-        let store = Arc::new(store);
         let tasks = vec![
             tokio::spawn(gossip.clone().run()),
             tokio::spawn(gossip.clone().push()),
-            tokio::spawn(reader::follow_table(Arc::clone(&store), gossip.clone())),
-            tokio::spawn(reader::follow_replicas(store, gossip.clone())),
+            tokio::spawn(reader::follow(Arc::new(store), gossip.clone())),
         ];
         log_decision(Code::Started, "", &format!("{} listens on {address}", options.host));
         Ok(Self { core, callers, gathers, _ready: ready, _control: control_server, gossip, tasks })
--- a/crates/front/src/gather_site.rs
+++ b/crates/front/src/gather_site.rs
@@ -70,7 +70,7 @@
             Some((route, plan)) => gather(&core, route, plan, &call, req).await,
             None => GatherReply { is_enough: false, may_have_run: false, receipts: vec![], records: Bytes::new() },
         };
-        Ok::<_, Infallible>(Frame::data(Bytes::from(egret_wire::encode(&reply))))
+        Ok::<_, Infallible>(Frame::data(Bytes::from(egret_wire::encode_compact(&reply))))
     };
     Response::new(StreamBody::new(stream::once(gathered)).boxed_unsync())
 }
--- a/crates/front/src/gossip.rs
+++ b/crates/front/src/gossip.rs
@@ -119,7 +119,7 @@
             beliefs.membership.refresh(now, parts_per_s);
             let membership = &beliefs.membership;
             let drawn = membership.draw(now, 1).pop();
-            (membership.own().address, drawn, membership.draw_lost(now), beliefs.readers(now))
+            (membership.own().address, drawn, membership.draw_lost(now), beliefs.readers())
         };
         if drawn.is_none() || fastrand::f64() < SEED_SHARE {
             let seed = self.draw_seed();
@@ -140,7 +140,7 @@
     /// Tells a host how far this one has come, and takes what this one lacks.
     async fn exchange(&self, peer: SocketAddr) {
         let message = lock(&self.beliefs).news(now());
-        let answer = self.client.post_packed::<News>(peer, NEWS_PATH, &message, PEER_TIMEOUT).await;
+        let answer = self.client.post_compact::<News>(peer, NEWS_PATH, &message, PEER_TIMEOUT).await;
         let is_news = {
             let mut beliefs = lock(&self.beliefs);
             match answer {
@@ -194,7 +194,7 @@
         if let Some(sender) = sender.filter(|_| is_behind) {
             self.0.catch_up(sender);
         }
-        Reply::packed(&answer)
+        Reply::compact(&answer)
     }
 }
 
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -51,4 +51,4 @@
 pub use header_names::HeaderNames;
 pub use lapse_guard::{LAPSE_HOLD, LapseGuard};
 pub use options::Options;
-pub use store::{Store, StoreError, Watched};
+pub use store::{Store, StoreError, StoreRead};
--- a/crates/front/src/reader.rs
+++ b/crates/front/src/reader.rs
@@ -12,7 +12,7 @@
     core::lock,
     gossip::Gossip,
     lapse_guard::LapseGuard,
-    store::{Store, StoreError},
+    store::{Store, StoreError, StoreRead},
 };
 
 /// How long a watch waits; its end confirms that nothing changed.
@@ -59,96 +59,73 @@
     has_waited
 }
 
-/// Follows the configuration.
-pub(crate) async fn follow_table(store: Arc<impl Store>, gossip: Gossip) {
+/// Follows configuration and replicas.
+pub(crate) async fn follow(store: Arc<impl Store>, gossip: Gossip) {
     let mut calls = Calls::default();
+    let mut guard = LapseGuard::default();
     let mut position = None;
     loop {
         if wait_for_duty(&gossip).await {
-            position = None;
+            // Others read meanwhile, and told what they read.
+            position = lock(&gossip.beliefs).position();
         }
         let sent_at = now();
         let read = match position {
-            None => store.read_table().await,
-            Some(after) => store.watch_table(after, WATCH_WAIT).await,
+            None => read_all(&*store, &gossip).await,
+            Some(after) => store.watch(after, WATCH_WAIT).await,
         };
         match read {
             Ok(read) => {
                 calls.succeeded();
+                guard.succeeded(now());
                 position = Some(read.revision);
-                let is_news = {
-                    let mut beliefs = lock(&gossip.beliefs);
-                    beliefs.confirm(sent_at);
-                    read.changes.into_iter().fold(false, |news, table| beliefs.take_table(Arc::new(table)) || news)
-                };
-                if is_news {
-                    gossip.news.notify_one();
+                let is_quiet = read.replicas.is_empty();
+                take(&gossip, &mut guard, sent_at, read);
+                if !is_quiet {
+                    tokio::time::sleep(COALESCE).await;
                 }
             }
-            Err(StoreError::HistoryLost) => position = None,
-            Err(error) => {
+            Err(StoreError::HistoryLost) => {
+                log_decision(Code::StoreHistoryLost, "", &format!("after revision {position:?}"));
                 position = None;
+            }
+            Err(error) => {
+                guard.failed();
                 calls.failed(&error).await;
             }
         }
     }
 }
 
-/// Follows the replicas.
-pub(crate) async fn follow_replicas(store: Arc<impl Store>, gossip: Gossip) {
-    let mut calls = Calls::default();
-    let mut guard = LapseGuard::default();
-    let mut position = None;
-    loop {
-        if wait_for_duty(&gossip).await {
-            position = None;
-        }
-        let read = match position {
-            None => read_all(&*store, &gossip).await,
-            Some(after) => store
-                .watch_replicas(after, WATCH_WAIT)
-                .await
-                .map(|watched| (watched.revision, watched.changes)),
-        };
-        match read {
-            Ok((revision, changes)) => {
-                calls.succeeded();
-                guard.succeeded(now());
-                position = Some(revision);
-                let is_quiet = changes.is_empty();
-                let passed = guard.pass(now(), changes);
-                let is_news =
-                    lock(&gossip.beliefs).take_entries(passed, revision, guard.complete_before());
-                if is_news {
-                    gossip.news.notify_one();
-                }
-                if !is_quiet {
-                    tokio::time::sleep(COALESCE).await;
-                }
-            }
-            Err(StoreError::HistoryLost) => position = None,
-            Err(error) => {
-                guard.failed();
-                // The history may be gone when the store is back; the position is tried first.
-                calls.failed(&error).await;
-            }
+/// Takes what the store told, and tells other hosts where it is news.
+fn take(gossip: &Gossip, guard: &mut LapseGuard, sent_at: Instant, read: StoreRead) {
+    let passed = guard.pass(now(), read.replicas);
+    let is_news = {
+        let mut beliefs = lock(&gossip.beliefs);
+        beliefs.confirm(sent_at);
+        let mut is_news = beliefs.take_entries(passed, read.revision, guard.complete_before());
+        for table in read.tables {
+            is_news |= beliefs.take_table(Arc::new(table));
         }
+        is_news
+    };
+    if is_news {
+        gossip.news.notify_one();
     }
 }
 
-/// Reads all replicas; those that are known and no longer listed count as deleted.
-async fn read_all(store: &impl Store, gossip: &Gossip) -> Result<(u64, Vec<RegistryEntry>), StoreError> {
-    let delta = store.read_replicas().await?;
-    let beliefs = lock(&gossip.beliefs);
-    let is_listed = |id: &str| delta.entries.iter().any(|entry| *entry.id == *id);
-    let vanished = beliefs.registry.present().filter(|known| known.revision <= delta.synced && !is_listed(&known.id));
-    let deletions: Vec<RegistryEntry> = vanished
-        .map(|known| RegistryEntry { revision: delta.synced, gone: true, ..known.clone() })
+/// Reads everything; replicas that are known and no longer listed count as deleted.
+async fn read_all(store: &impl Store, gossip: &Gossip) -> Result<StoreRead, StoreError> {
+    let mut read = store.read().await?;
+    let is_listed = |id: &str| read.replicas.iter().any(|entry| *entry.id == *id);
+    let deletions: Vec<RegistryEntry> = lock(&gossip.beliefs)
+        .registry
+        .present()
+        .filter(|known| known.revision <= read.revision && !is_listed(&known.id))
+        .map(|known| RegistryEntry { revision: read.revision, gone: true, ..known.clone() })
         .collect();
-    drop(beliefs);
-    let mut changes = delta.entries;
-    changes.extend(deletions);
-    Ok((delta.synced, changes))
+    read.replicas.extend(deletions);
+    Ok(read)
 }
 
 fn now() -> Instant {
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -3,7 +3,7 @@
 use std::{future::Future, time::Duration};
 
 use derive_more::{Display, Error};
-use egret_routes::{RegistryDelta, RegistryEntry, RouteTable};
+use egret_routes::{RegistryEntry, RouteTable};
 
 /// Why the store gave no answer that can be used.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
@@ -31,34 +31,28 @@
     },
 }
 
-/// The changes that a watch brought.
-#[derive(Clone, Debug)]
-pub struct Watched<T> {
+/// What the store holds, or what changed in it.
+#[derive(Clone, Debug, Default)]
+pub struct StoreRead {
     /// The revision to continue from.
     pub revision: u64,
-    /// The changes, in order.
-    pub changes: Vec<T>,
+    /// Configurations, in order; those that cannot be read are left out.
+    pub tables: Vec<RouteTable>,
+    /// Replicas' entries, in order.
+    pub replicas: Vec<RegistryEntry>,
 }
 
 /// The platform's store, which can only be read.
 pub trait Store: Send + Sync + 'static {
-    /// Reads the newest configuration; empty where there is none, or none that can be read.
-    fn read_table(&self) -> impl Future<Output = Result<Watched<RouteTable>, StoreError>> + Send;
+    /// Reads the newest configuration and all replicas.
+    ///
+    /// Every change up to the revision of the answer is in it.
+    fn read(&self) -> impl Future<Output = Result<StoreRead, StoreError>> + Send;
 
-    /// Waits for a configuration that was written after a revision.
-    fn watch_table(
+    /// Waits for changes after a revision, at most for `wait`.
+    fn watch(
         &self,
         after: u64,
         wait: Duration,
-    ) -> impl Future<Output = Result<Watched<RouteTable>, StoreError>> + Send;
-
-    /// Reads all replicas; every change up to the delta's revision is in it.
-    fn read_replicas(&self) -> impl Future<Output = Result<RegistryDelta, StoreError>> + Send;
-
-    /// Waits for replicas' changes after a revision.
-    fn watch_replicas(
-        &self,
-        after: u64,
-        wait: Duration,
-    ) -> impl Future<Output = Result<Watched<RegistryEntry>, StoreError>> + Send;
+    ) -> impl Future<Output = Result<StoreRead, StoreError>> + Send;
 }
--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -11,6 +11,8 @@
 pub const SUSPECT_FOR: Duration = Duration::from_millis(2500);
 /// A member that is gone for this long is forgotten; longer than any bound that counts hosts.
 pub const FORGET_AFTER: Duration = Duration::from_secs(60);
+/// How long the hosts of a fleet that starts are introduced to each other.
+const START: Duration = Duration::from_secs(3);
 /// Members that a message carries because they are news.
 const NEWS_MAX: usize = 8;
 /// Members that an answer carries for a host that knows fewer.
@@ -108,7 +110,9 @@
             }
             return false;
         }
-        let to_tell = self.times_to_tell();
+        // A fleet that starts is introduced anyhow.
+        let is_starting = self.age(now) < START;
+        let to_tell = if is_starting { 0 } else { self.times_to_tell() };
         let heard = Peer { member: member.clone(), since: now, to_tell };
         match self.find(member.address) {
             Ok(at) => {
@@ -129,6 +133,12 @@
         std::iter::once(&self.own).chain(self.live_peers(now))
     }
 
+    /// Returns this host and the members that nobody doubts.
+    pub fn trusted(&self) -> impl Iterator<Item = &Member> {
+        let peers = self.peers.iter().map(|peer| &peer.member);
+        std::iter::once(&self.own).chain(peers.filter(|member| member.standing == Standing::Live))
+    }
+
     /// Returns how many hosts there may be; hosts that were lost lately count.
     #[must_use]
     pub fn size(&self) -> usize {
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -167,7 +167,30 @@
         body: &(impl Serialize + Sync),
         within: Duration,
     ) -> Result<T, ExchangeError> {
-        let body = egret_wire::encode(body);
+        self.post_encoded(address, path, egret_wire::encode(body), within).await
+    }
+
+    /// Sends MessagePack without field names and decodes the answer.
+    ///
+    /// # Errors
+    /// Says whether the request may have left.
+    pub async fn post_compact<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: &(impl Serialize + Sync),
+        within: Duration,
+    ) -> Result<T, ExchangeError> {
+        self.post_encoded(address, path, egret_wire::encode_compact(body), within).await
+    }
+
+    async fn post_encoded<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: Vec<u8>,
+        within: Duration,
+    ) -> Result<T, ExchangeError> {
         let message = Message { method: Method::POST, path, media_type: PACKED, body };
         let answer = self.exchange(address, message, within).await?;
         if answer.status != 200 {
--- a/crates/node/src/reply.rs
+++ b/crates/node/src/reply.rs
@@ -38,6 +38,12 @@
         Self::new(200, "application/msgpack", egret_wire::encode(body))
     }
 
+    /// Creates a reply of MessagePack without field names.
+    #[must_use]
+    pub fn compact(body: &impl Serialize) -> Self {
+        Self::new(200, "application/msgpack", egret_wire::encode_compact(body))
+    }
+
     /// Creates the reply for a path that is not served.
     #[must_use]
     pub fn not_found() -> Self {
--- a/crates/policy/src/reader_duty.rs
+++ b/crates/policy/src/reader_duty.rs
@@ -13,8 +13,8 @@
 /// hosts that ask one reader grow as fast as the fleet.
 #[must_use]
 pub fn readers_of(hosts: usize) -> usize {
-    let half_root = (hosts as f64).sqrt() / 2.0;
-    (half_root.ceil() as usize).max(READERS_MIN)
+    let third_of_root = (hosts as f64).sqrt() / 3.0;
+    (third_of_root.ceil() as usize).max(READERS_MIN)
 }
 
 /// Returns the readers among the live hosts, by rendezvous hashing.
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -19,7 +19,18 @@
     rmp_serde::to_vec_named(message).expect("messages have a MessagePack form")
 }
 
-/// Decodes a message.
+/// Encodes a message without its field names, for messages that hosts send all the time.
+///
+/// Later versions may only append fields, with a default.
+///
+/// # Panics
+/// Never: the messages of this project have no values that MessagePack lacks.
+#[must_use]
+pub fn encode_compact(message: &impl Serialize) -> Vec<u8> {
+    rmp_serde::to_vec(message).expect("messages have a MessagePack form")
+}
+
+/// Decodes a message of either form.
 ///
 /// # Errors
 /// Fails where the bytes are not one whole message of the kind.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! ```
 //! use egret_model::{Incarnation, QueryId};
-//! use egret_wire::{Cancel, decode, encode};
+//! use egret_wire::{Cancel, decode, encode, encode_compact};
 //!
 //! let cancel = Cancel { query: QueryId(7), origin: Incarnation(1), attempt: 2 };
 //! let bytes = encode(&cancel);
@@ -37,7 +37,7 @@
 mod target_health;
 
 pub use answer::{MissingShard, QueryAnswer, ServiceShards, ShownHit};
-pub use codec::{DecodeError, decode, encode};
+pub use codec::{DecodeError, decode, encode, encode_compact};
 pub use leaving::Leaving;
 pub use not_run::{NotRun, NotRunReason};
 pub use notice::Notice;
