Leave overloaded shards out, refuse at once what would be late for sure

Ruled out: more second copies (they load what is overloaded). Change: choose_shards at the start of a gather; second copies go to free slots only.

--- a/crates/front/src/delegate.rs
+++ b/crates/front/src/delegate.rs
@@ -19,6 +19,7 @@
     core::Core,
     gather_call::{GatherCall, GatherReply},
     target::{Running, Target},
+    target_set::Want,
 };
 
 /// The path that takes gathers of other hosts.
@@ -74,9 +75,9 @@
     let mut tried = Vec::new();
     for _ in 0..GATHERERS_MAX {
         let hosts = core.gatherers.load();
-        let picked = first.iter().find_map(|name| hosts.pick(now(), &[name], &tried, false));
+        let picked = first.iter().find_map(|name| hosts.pick(now(), &[name], &tried, Want::Sound));
         let any: Vec<&str> = near.iter().map(|name| &**name).collect();
-        let Some(gatherer) = picked.or_else(|| hosts.pick(now(), &any, &tried, false)) else { break };
+        let Some(gatherer) = picked.or_else(|| hosts.pick(now(), &any, &tried, Want::Sound)) else { break };
         tried.push(Arc::clone(&gatherer.replica.id));
         match call(&gatherer, route, plan, req, is_repeat).await {
             Ok(reply) => return Delegated::Done(reply),
--- a/crates/front/src/fan.rs
+++ b/crates/front/src/fan.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use egret_policy::{GatherAim, GatherProgress, GatherStep};
+use egret_policy::{GatherAim, GatherProgress, GatherStep, ShardChoice, ShardOutlook, choose_shards};
 use egret_routes::Route;
 use futures_util::{StreamExt, stream::FuturesUnordered};
 
@@ -14,6 +14,7 @@
     core::Core,
     exchange::{ExchangeTerms, exchange},
     target::Target,
+    target_set::Want,
     target_answer::{ExchangeResult, LossCause, TargetAnswer},
 };
 
@@ -32,6 +33,10 @@
     pub(crate) last_loss: Option<LossCause>,
     /// Copies beyond the first of each service.
     pub(crate) extra: u32,
+    /// Set where nothing was sent because too many services are overloaded: when to come back.
+    pub(crate) refused_for: Option<Duration>,
+    /// Services that were left out because they are overloaded.
+    pub(crate) left_out: u32,
     /// Services for which no target could be asked.
     pub(crate) without_target: u32,
 }
@@ -89,7 +94,14 @@
         end: FanEnd { parts: vec![None; services.len()], ..FanEnd::default() },
     };
     let mut running = FuturesUnordered::new();
+    if let Err(retry_after) = fan.choose() {
+        fan.end.refused_for = Some(retry_after);
+        return fan.end;
+    }
     for shard in 0..services.len() {
+        if fan.progress.is_out(shard) {
+            continue;
+        }
         running.extend(fan.next_copy(shard).map(|target| fan.copy(shard, target)));
     }
     loop {
@@ -128,18 +140,42 @@
         let loss = self.last_loss.map_or_else(|| "none".to_owned(), |cause| cause.to_string());
         let signed = self.failure.as_ref().map_or(0, |answer| answer.status.as_u16());
         format!(
-            "{} without target, {} extra copies, may have run: {}, last failure of a target: {signed}, \
+            "{} overloaded and left out, {} without target, {} extra copies, may have run: {}, last failure of a target: {signed}, \
              last loss: {loss}",
-            self.without_target, self.extra, self.may_have_run
+            self.left_out, self.without_target, self.extra, self.may_have_run
         )
     }
 }
 
 impl Fan<'_> {
+    /// Leaves out services that are overloaded, where enough others remain.
+    fn choose(&mut self) -> Result<(), Duration> {
+        if self.services.len() <= 1 {
+            return Ok(());
+        }
+        let targets = self.core.targets.load();
+        let now = now();
+        let outlooks: Vec<ShardOutlook> =
+            self.services.iter().map(|service| targets.outlook(now, service, self.rules.usual)).collect();
+        let to_goal = self.rules.aim.goal_at.saturating_duration_since(now);
+        match choose_shards(&outlooks, self.rules.aim.least, to_goal) {
+            ShardChoice::Ask(asked) => {
+                for shard in 0..self.services.len() {
+                    if asked.binary_search(&shard).is_err() {
+                        self.progress.give_up_shard(shard);
+                        self.end.left_out += 1;
+                    }
+                }
+                Ok(())
+            }
+            ShardChoice::Refuse(retry_after) => Err(retry_after),
+        }
+    }
+
     /// Chooses the target of a first copy, or of a repeat after a failure.
     fn next_copy(&mut self, shard: usize) -> Option<Arc<Target>> {
         let service = &self.services[shard];
-        let target = self.core.targets.load().pick(now(), &[service], &self.tried[shard], true);
+        let target = self.core.targets.load().pick(now(), &[service], &self.tried[shard], Want::Any);
         let Some(target) = target else {
             self.end.without_target += u32::from(self.arrived[shard] == 0);
             self.progress.give_up_shard(shard);
@@ -160,7 +196,7 @@
     /// Chooses the target of a second copy beside one that still runs.
     fn hedge(&mut self, shard: usize) -> Option<Arc<Target>> {
         let service = &self.services[shard];
-        let target = self.core.targets.load().pick(now(), &[service], &self.tried[shard], false)?;
+        let target = self.core.targets.load().pick(now(), &[service], &self.tried[shard], Want::Free)?;
         if !self.core.spend(now(), service) {
             return None;
         }
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -28,6 +28,11 @@
         Delegated::Done(outcome) => outcome,
         Delegated::Here { is_repeat } => run_gather(core, route, plan, req, is_repeat).await,
     };
+    if let Some(come_back_ms) = outcome.come_back_ms {
+        let reason = "too many shards are overloaded: come back later";
+        let secs = come_back_ms as f64 / 1000.0;
+        return reply::refused(StatusCode::SERVICE_UNAVAILABLE, reason, Some(secs));
+    }
     if !outcome.is_enough {
         return no_answer(req, route, outcome.may_have_run);
     }
@@ -61,6 +66,7 @@
     GatherReply {
         is_enough: end.is_enough,
         may_have_run: end.may_have_run,
+        come_back_ms: end.refused_for.map(|after| after.as_millis() as u64),
         receipts,
         records: greatest(&bodies, plan.top),
     }
@@ -72,6 +78,11 @@
     if end.is_enough && missing == 0 {
         return;
     }
+    if let Some(after) = end.refused_for {
+        let detail = format!("route {}: overloaded, come back after {after:?}", route.name);
+        log_decision(Code::RequestRefused, req.id_text(), &detail);
+        return;
+    }
     let code = if end.is_enough { Code::AnswerPartial } else { Code::RequestFailed };
     let detail = format!(
         "route {} without {missing} of {all} shards, after {} ms: {}",
--- a/crates/front/src/gather_call.rs
+++ b/crates/front/src/gather_call.rs
@@ -36,9 +36,25 @@
         pub is_enough: bool,
         /// Whether a target may have run the request.
         pub may_have_run: bool,
+        /// Set where nothing was sent because of overload: milliseconds after which to come back.
+        pub come_back_ms: Option<u64>,
         /// The receipts of the parts that are in.
         pub receipts: Vec<Bytes>,
         /// The greatest records of these parts.
         pub records: Bytes,
     }
 }
+
+impl GatherReply {
+    /// Creates the reply of a gather that sent nothing.
+    #[must_use]
+    pub(crate) fn not_run() -> Self {
+        Self {
+            is_enough: false,
+            may_have_run: false,
+            come_back_ms: None,
+            receipts: Vec::new(),
+            records: Bytes::new(),
+        }
+    }
+}
--- a/crates/front/src/gather_site.rs
+++ b/crates/front/src/gather_site.rs
@@ -68,7 +68,7 @@
     let gathered = async move {
         let reply = match find(&table, &call) {
             Some((route, plan)) => gather(&core, route, plan, &call, req).await,
-            None => GatherReply { is_enough: false, may_have_run: false, receipts: vec![], records: Bytes::new() },
+            None => GatherReply::not_run(),
         };
         Ok::<_, Infallible>(Frame::data(Bytes::from(egret_wire::encode_compact(&reply))))
     };
@@ -83,7 +83,7 @@
     req: CallerRequest,
 ) -> GatherReply {
     if core.suspects().is_poison(now(), req.fingerprint) {
-        return GatherReply { is_enough: false, may_have_run: false, receipts: vec![], records: Bytes::new() };
+        return GatherReply::not_run();
     }
     run_gather(core, route, plan, &Arc::new(req), call.is_repeat).await
 }
--- a/crates/front/src/target.rs
+++ b/crates/front/src/target.rs
@@ -67,6 +67,10 @@
         self.state().load.cost(now) * cold
     }
 
+    pub(crate) fn has_room(&self, now: Instant) -> bool {
+        self.state().load.has_room(now)
+    }
+
     pub(crate) fn is_avoided(&self, now: Instant) -> bool {
         self.state().load.is_avoided(now)
     }
--- a/crates/front/src/target_set.rs
+++ b/crates/front/src/target_set.rs
@@ -1,16 +1,33 @@
 //! All targets that may get new work, by service.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
+use egret_policy::ShardOutlook;
 use egret_routes::Replica;
 
 use crate::target::Target;
 
 /// How much more a target in another data centre must be worth; the way there costs bytes.
-const REMOTE_FACTOR: f64 = 1.4;
+const REMOTE_FACTOR: f64 = 2.0;
+/// What a target that is avoided is expected to take, in usual latencies.
+const AVOIDED_COST: f64 = 20.0;
 /// Hosts that know the same must not all choose the same target: costs differ by up to this share.
 const JITTER: f64 = 0.1;
 
+/// Which targets will do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Want {
+    /// Any, the avoided ones last.
+    Any,
+    /// Those that are not avoided.
+    Sound,
+    /// Those that are not avoided and seem to have a free slot.
+    Free,
+}
+
 /// The targets of one service.
 #[derive(Debug)]
 struct Group {
@@ -67,13 +84,25 @@
         }
     }
 
-    /// Returns the best target of some services that was not tried yet; an avoided one only where `or_avoided`.
+    /// Returns what a request may expect of a service's best target.
+    pub(crate) fn outlook(&self, now: Instant, service: &str, usual: Duration) -> ShardOutlook {
+        let targets = self.targets_of(service);
+        let usable = targets.iter().filter(|target| !target.is_avoided(now));
+        let costs = usable.map(|target| target.cost(now));
+        let least = costs.min_by(f64::total_cmp).or((!targets.is_empty()).then_some(AVOIDED_COST));
+        ShardOutlook {
+            expected: least.map(|cost| usual.mul_f64(cost)),
+            has_room: targets.iter().any(|target| !target.is_avoided(now) && target.has_room(now)),
+        }
+    }
+
+    /// Returns the best target of some services that was not tried yet.
     pub(crate) fn pick(
         &self,
         now: Instant,
         services: &[&str],
         tried: &[Arc<str>],
-        or_avoided: bool,
+        want: Want,
     ) -> Option<Arc<Target>> {
         let all = services.iter().flat_map(|service| self.targets_of(service));
         let untried = all.filter(|target| !tried.contains(&target.replica.id));
@@ -84,7 +113,11 @@
         };
         untried
             .map(|target| (rank(target), target))
-            .filter(|((is_avoided, _), _)| or_avoided || !is_avoided)
+            .filter(|((is_avoided, _), target)| match want {
+                Want::Any => true,
+                Want::Sound => !is_avoided,
+                Want::Free => !is_avoided && target.has_room(now),
+            })
             .min_by(|((a_avoided, a), _), ((b_avoided, b), _)| a_avoided.cmp(b_avoided).then(a.total_cmp(b)))
             .map(|(_, target)| Arc::clone(target))
     }
--- a/crates/policy/src/gather_progress.rs
+++ b/crates/policy/src/gather_progress.rs
@@ -109,6 +109,12 @@
         self.shards[shard].done
     }
 
+    /// Tells whether a shard was given up.
+    #[must_use]
+    pub fn is_out(&self, shard: usize) -> bool {
+        self.shards[shard].dead
+    }
+
     /// Returns the number of parts that are in.
     #[must_use]
     pub fn done(&self) -> usize {
--- a/crates/policy/src/target_load.rs
+++ b/crates/policy/src/target_load.rs
@@ -30,6 +30,8 @@
 /// How long a target is avoided at first; each further time doubles it.
 const AVOID_FIRST: Duration = Duration::from_millis(500);
 const AVOID_DOUBLINGS_MAX: u32 = 4;
+/// Requests that a target without room is taken to hold, as a multiple of its slots.
+const SHED_QUEUE: f64 = 6.0;
 /// How long a target without room is avoided.
 const SHED_AVOID: Duration = Duration::from_millis(40);
 
@@ -37,6 +39,8 @@
 struct Begun {
     at: Instant,
     usual: Duration,
+    /// How much longer than alone it was to take, for the requests that were ahead.
+    share: f64,
 }
 
 /// How busy and how slow one target seems to this host.
@@ -76,14 +80,15 @@
 
     /// Counts an exchange that begins and is expected to take `usual`.
     pub fn begin(&mut self, now: Instant, usual: Duration) {
-        self.begun.push(Begun { at: now, usual });
+        let share = self.queue_factor(now);
+        self.begun.push(Begun { at: now, usual, share });
     }
 
     /// Takes the end of an exchange that began at `began`.
     pub fn end(&mut self, now: Instant, began: Instant, end: ExchangeEnd) {
         let Some(at) = self.begun.iter().position(|begun| begun.at == began) else { return };
         let begun = self.begun.swap_remove(at);
-        let sample = ratio(now.saturating_duration_since(began), begun.usual);
+        let sample = ratio(now.saturating_duration_since(began), begun.usual) / begun.share;
         match end {
             ExchangeEnd::Answered => {
                 self.sample(now, sample);
@@ -97,7 +102,11 @@
                 }
             }
             ExchangeEnd::Unreachable => self.avoid(now),
-            ExchangeEnd::Shed => self.avoid_until = self.avoid_until.max(Some(now + SHED_AVOID)),
+            ExchangeEnd::Shed => {
+                self.avoid_until = self.avoid_until.max(Some(now + SHED_AVOID));
+                self.reported = self.reported.max(self.slots * SHED_QUEUE);
+                self.reported_at = Some(now);
+            }
             // It would have taken longer than this.
             ExchangeEnd::Abandoned if sample > self.slowness => self.sample(now, sample),
             ExchangeEnd::Abandoned => {}
@@ -119,9 +128,22 @@
     /// Returns how long one more request is likely to take, in usual latencies.
     #[must_use]
     pub fn cost(&self, now: Instant) -> f64 {
+        self.slowness_at(now) * self.queue_factor(now)
+    }
+
+    /// Tells whether a slot seems free.
+    #[must_use]
+    pub fn has_room(&self, now: Instant) -> bool {
+        self.pending(now) < self.slots
+    }
+
+    fn queue_factor(&self, now: Instant) -> f64 {
+        1.0 + self.pending(now) / self.slots
+    }
+
+    fn pending(&self, now: Instant) -> f64 {
         let own = self.begun.len() as f64;
-        let pending = own.max(self.reported * faded(now, self.reported_at, REPORT_LASTS));
-        self.slowness_at(now) * (1.0 + pending / self.slots)
+        own.max(self.reported * faded(now, self.reported_at, REPORT_LASTS))
     }
 
     /// Returns how many times as long as usual the target takes.
@@ -129,7 +151,7 @@
     pub fn slowness_at(&self, now: Instant) -> f64 {
         let kept = faded(now, self.sampled_at, SLOWNESS_LASTS);
         let remembered = 1.0 + (self.slowness - 1.0) * kept;
-        let age = |begun: &Begun| ratio(now.saturating_duration_since(begun.at), begun.usual);
+        let age = |begun: &Begun| ratio(now.saturating_duration_since(begun.at), begun.usual) / begun.share;
         let oldest = self.begun.iter().map(age).fold(0.0, f64::max);
         if oldest > OVERDUE_FACTOR { remembered.max(oldest) } else { remembered }
     }
