Second copies where they can be in time, and more of their budget

Ruled out: pauses of both replicas (rare). Change: saved and refilled shares of the slack, a target within the time left in place of a free slot, waits counted from the last free slot, shards that were left out are looked at again.

--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -23,9 +23,11 @@
 };
 
 /// The share of a target's connections that hosts use; the rest is for hosts that come and go.
-const CONNECTIONS_SHARE: f64 = 0.85;
+const CONNECTIONS_SHARE: f64 = 0.6;
 /// Shares of the targets' limits for each gatherer; the rest is for other hosts' needs.
-const GATHERERS_SPARE: f64 = 1.5;
+const GATHERERS_SPARE: f64 = 1.2;
+/// Hosts among which limits are shared at least; one that just started knows few others.
+const HOSTS_MIN: usize = 12;
 /// How long a target that broke a connection may take to show that it still runs.
 const CRASH_CHECK_AFTER: Duration = Duration::from_millis(20);
 
@@ -122,7 +124,7 @@
         if self.is_gatherer() && gatherers > 0 {
             return (gatherers as f64 * GATHERERS_SPARE).ceil() as usize;
         }
-        self.hosts.load(Ordering::Relaxed).max(1)
+        self.hosts.load(Ordering::Relaxed).max(HOSTS_MIN)
     }
 
     pub(crate) fn set_confirmed_at(&self, at: Option<Instant>) {
@@ -168,7 +170,7 @@
     }
 
     fn with_budget<R>(&self, now: Instant, service: &Arc<str>, act: impl FnOnce(&mut RetryBudget) -> R) -> R {
-        let create = || RetryBudget::new(now, self.options.retries);
+        let create = || RetryBudget::new(now, self.options.retries, self.sharing_hosts());
         act(named(&mut lock(&self.budgets), service, create))
     }
 
--- a/crates/front/src/fan.rs
+++ b/crates/front/src/fan.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use egret_policy::{GatherAim, GatherProgress, GatherStep, ShardChoice, ShardOutlook, choose_shards};
+use egret_policy::{GatherAim, GatherProgress, GatherStep, ShardChoice, ShardOutlook, choose_shards, on_time};
 use egret_routes::Route;
 use futures_util::{StreamExt, stream::FuturesUnordered};
 
@@ -18,6 +18,9 @@
     target_answer::{ExchangeResult, LossCause, TargetAnswer},
 };
 
+/// How often services that were left out are looked at again.
+const RECHECK_EVERY: Duration = Duration::from_millis(15);
+
 /// What came of a fan.
 #[derive(Debug, Default)]
 pub(crate) struct FanEnd {
@@ -67,6 +70,8 @@
     services: &'a [Arc<str>],
     rules: FanRules,
     progress: GatherProgress,
+    /// Services that are overloaded and not asked yet.
+    left_out: Vec<usize>,
     /// Identifiers of the targets that were asked, by service.
     tried: Vec<Vec<Arc<str>>>,
     /// Copies that reached a target or may have, by service.
@@ -89,6 +94,7 @@
         services,
         rules,
         progress: GatherProgress::new(services.len(), rules.aim),
+        left_out: Vec::new(),
         tried: vec![Vec::new(); services.len()],
         arrived: vec![0; services.len()],
         end: FanEnd { parts: vec![None; services.len()], ..FanEnd::default() },
@@ -111,15 +117,25 @@
                 None => fan.progress.hedge_refused(shard),
             },
             GatherStep::Answer => {
-                fan.end.is_enough = true;
-                return fan.end;
+                let taken_up = fan.take_up();
+                if taken_up.is_empty() {
+                    fan.end.is_enough = true;
+                    return fan.end;
+                }
+                running.extend(taken_up.into_iter().map(|(shard, target)| fan.copy(shard, target)));
             }
             GatherStep::GiveUp => {
+                let taken_up = fan.take_up();
+                if !taken_up.is_empty() {
+                    running.extend(taken_up.into_iter().map(|(shard, target)| fan.copy(shard, target)));
+                    continue;
+                }
                 // Copies that are still out may be at work.
                 fan.end.may_have_run |= !running.is_empty();
                 return fan.end;
             }
             GatherStep::Wait(until) => {
+                let until = if fan.left_out.is_empty() { until } else { until.min(now() + RECHECK_EVERY) };
                 let wake = tokio::time::sleep_until(until.into());
                 tokio::select! {
                     biased;
@@ -127,7 +143,10 @@
                         let next = fan.take(copy);
                         running.extend(next.map(|(shard, target)| fan.copy(shard, target)));
                     }
-                    () = wake => {}
+                    () = wake => {
+                        let taken_up = fan.take_up();
+                        running.extend(taken_up.into_iter().map(|(shard, target)| fan.copy(shard, target)));
+                    }
                 }
             }
         }
@@ -163,15 +182,36 @@
                 for shard in 0..self.services.len() {
                     if asked.binary_search(&shard).is_err() {
                         self.progress.give_up_shard(shard);
-                        self.end.left_out += 1;
+                        self.left_out.push(shard);
                     }
                 }
+                self.end.left_out = self.left_out.len() as u32;
                 Ok(())
             }
             ShardChoice::Refuse(retry_after) => Err(retry_after),
         }
     }
 
+    /// Asks services after all that were left out and now promise a part in time.
+    fn take_up(&mut self) -> Vec<(usize, Arc<Target>)> {
+        let now = now();
+        let to_goal = self.rules.aim.goal_at.saturating_duration_since(now);
+        let targets = self.core.targets.load_full();
+        let is_in_time = |shard: &usize| {
+            let outlook = targets.outlook(now, &self.services[*shard], self.rules.usual);
+            outlook.expected.is_some_and(|expected| expected <= on_time(to_goal))
+        };
+        let (taken, left): (Vec<usize>, Vec<usize>) = self.left_out.iter().partition(|shard| is_in_time(shard));
+        self.left_out = left;
+        let mut copies = Vec::new();
+        for shard in taken {
+            self.progress.take_up(shard);
+            self.end.left_out -= 1;
+            copies.extend(self.next_copy(shard).map(|target| (shard, target)));
+        }
+        copies
+    }
+
     /// Chooses the target of a first copy, or of a repeat after a failure.
     fn next_copy(&mut self, shard: usize) -> Option<Arc<Target>> {
         let service = &self.services[shard];
@@ -196,7 +236,12 @@
     /// Chooses the target of a second copy beside one that still runs.
     fn hedge(&mut self, shard: usize) -> Option<Arc<Target>> {
         let service = &self.services[shard];
-        let target = self.core.targets.load().pick(now(), &[service], &self.tried[shard], Want::Free)?;
+        let now_at = now();
+        let left = on_time(self.rules.aim.goal_at.saturating_duration_since(now_at));
+        // After the goal, a copy that nobody waits behind still shortens the answer's delay.
+        let affordable = left.max(self.rules.usual).div_duration_f64(self.rules.usual);
+        let want = Want::Within(affordable);
+        let target = self.core.targets.load().pick(now_at, &[service], &self.tried[shard], want)?;
         if !self.core.spend(now(), service) {
             return None;
         }
--- a/crates/front/src/route_latency.rs
+++ b/crates/front/src/route_latency.rs
@@ -11,6 +11,8 @@
 const HEDGE_FACTOR: f64 = 1.25;
 /// A second copy must still have a chance to come in time: no later than this share of the goal.
 const HEDGE_GOAL_SHARE: f64 = 0.45;
+/// What a request takes that waits for nothing: the faster ones show it.
+const USUAL_QUANTILE: f64 = 0.35;
 /// What a request is taken to need before anything is known, as a share of the goal.
 const USUAL_GOAL_SHARE: f64 = 0.15;
 /// Samples between two computations of the quantile, which sorts the window.
@@ -44,7 +46,7 @@
         self.since_computed += 1;
         if self.since_computed >= RECOMPUTE_EVERY {
             self.since_computed = 0;
-            self.usual = self.window.quantile(0.5).unwrap_or(self.usual);
+            self.usual = self.window.quantile(USUAL_QUANTILE).unwrap_or(self.usual);
             let late = self.window.quantile(HEDGE_QUANTILE).unwrap_or(self.hedge_after);
             self.hedge_after = late.mul_f64(HEDGE_FACTOR).min(self.goal.mul_f64(HEDGE_GOAL_SHARE));
         }
--- a/crates/front/src/target_set.rs
+++ b/crates/front/src/target_set.rs
@@ -18,14 +18,14 @@
 const JITTER: f64 = 0.1;
 
 /// Which targets will do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Want {
     /// Any, the avoided ones last.
     Any,
     /// Those that are not avoided.
     Sound,
-    /// Those that are not avoided and seem to have a free slot.
-    Free,
+    /// Those that are not avoided and cost no more than this, in usual latencies.
+    Within(f64),
 }
 
 /// The targets of one service.
@@ -116,7 +116,7 @@
             .filter(|((is_avoided, _), target)| match want {
                 Want::Any => true,
                 Want::Sound => !is_avoided,
-                Want::Free => !is_avoided && target.has_room(now),
+                Want::Within(cost) => !is_avoided && target.cost(now) <= cost,
             })
             .min_by(|((a_avoided, a), _), ((b_avoided, b), _)| a_avoided.cmp(b_avoided).then(a.total_cmp(b)))
             .map(|(_, target)| Arc::clone(target))
--- a/crates/policy/src/gather_progress.rs
+++ b/crates/policy/src/gather_progress.rs
@@ -103,6 +103,11 @@
         }
     }
 
+    /// Takes up a shard again that was given up before anything was sent.
+    pub fn take_up(&mut self, shard: usize) {
+        self.shards[shard].dead = false;
+    }
+
     /// Tells whether a shard's part is in.
     #[must_use]
     pub fn is_done(&self, shard: usize) -> bool {
--- a/crates/policy/src/retry_budget.rs
+++ b/crates/policy/src/retry_budget.rs
@@ -18,9 +18,14 @@
 }
 
 /// The share of the limits that is used, for requests that count elsewhere or are lost.
-const USED_RATIO: f64 = 0.85;
-/// The share of the slack that one window may take as a burst; the refill takes as much.
-const USED_SLACK: f64 = 0.4;
+const USED_RATIO: f64 = 0.9;
+/// The share of the slack that may be saved for a burst.
+const SAVED_SLACK: f64 = 0.5;
+/// The share of the slack that comes back in one window.
+const REFILLED_SLACK: f64 = 0.3;
+/// What a host that just started may spend of what it could have saved; an earlier run of it
+/// may have spent as well.
+const SAVED_AT_START: f64 = 0.3;
 
 /// Extra arrivals that this host may cause at one service.
 ///
@@ -34,10 +39,12 @@
 }
 
 impl RetryBudget {
-    /// Creates a budget that has nothing saved yet.
+    /// Creates a budget that has little saved yet.
     #[must_use]
-    pub fn new(now: Instant, limits: RetryLimits) -> Self {
-        Self { limits, tokens: 0.0, refilled_at: now }
+    pub fn new(now: Instant, limits: RetryLimits, hosts: usize) -> Self {
+        let mut budget = Self { limits, tokens: 0.0, refilled_at: now };
+        budget.tokens = budget.slack_share(hosts) * SAVED_SLACK * SAVED_AT_START;
+        budget
     }
 
     /// Counts a request's first copy.
@@ -65,14 +72,14 @@
         let window = Duration::from_millis(self.limits.window_ms);
         let windows = now.saturating_duration_since(self.refilled_at).as_secs_f64() / window.as_secs_f64();
         self.refilled_at = now;
-        self.tokens = (self.tokens + windows * self.slack_share(hosts)).min(self.saved_max(hosts));
+        self.tokens = (self.tokens + windows * self.slack_share(hosts) * REFILLED_SLACK).min(self.saved_max(hosts));
     }
 
     fn slack_share(&self, hosts: usize) -> f64 {
-        self.limits.slack * USED_SLACK / hosts.max(1) as f64
+        self.limits.slack / hosts.max(1) as f64
     }
 
     fn saved_max(&self, hosts: usize) -> f64 {
-        self.slack_share(hosts).max(1.0)
+        (self.slack_share(hosts) * SAVED_SLACK).max(1.0)
     }
 }
--- a/crates/policy/src/shard_choice.rs
+++ b/crates/policy/src/shard_choice.rs
@@ -27,6 +27,12 @@
 const COME_BACK_MIN: Duration = Duration::from_millis(150);
 const COME_BACK_MAX: Duration = Duration::from_millis(1000);
 
+/// Returns the longest time that a part may be expected to take, for it to be in by the goal.
+#[must_use]
+pub fn on_time(to_goal: Duration) -> Duration {
+    to_goal.mul_f64(ON_TIME_SHARE)
+}
+
 /// Chooses the shards that a gather asks.
 ///
 /// Answers the load of a day on which some shards' replicas are slow: what these shards are
@@ -35,7 +41,7 @@
 /// needs them takes their free slots; one that finds none is refused before any part runs.
 #[must_use]
 pub fn choose_shards(outlooks: &[ShardOutlook], least: usize, to_goal: Duration) -> ShardChoice {
-    let on_time = to_goal.mul_f64(ON_TIME_SHARE);
+    let on_time = on_time(to_goal);
     let mut order: Vec<usize> = (0..outlooks.len()).filter(|&at| outlooks[at].expected.is_some()).collect();
     order.sort_by_key(|&at| outlooks[at].expected);
     let in_time = order.iter().filter(|&&at| outlooks[at].expected <= Some(on_time)).count();
--- a/crates/policy/src/target_load.rs
+++ b/crates/policy/src/target_load.rs
@@ -30,6 +30,8 @@
 /// How long a target is avoided at first; each further time doubles it.
 const AVOID_FIRST: Duration = Duration::from_millis(500);
 const AVOID_DOUBLINGS_MAX: u32 = 4;
+/// What a request in a slot of its own costs another one; tells idle targets from busy ones.
+const BUSY_SLOT_COST: f64 = 0.08;
 /// Requests that a target without room is taken to hold, as a multiple of its slots.
 const SHED_QUEUE: f64 = 6.0;
 /// How long a target without room is avoided.
@@ -138,7 +140,9 @@
     }
 
     fn queue_factor(&self, now: Instant) -> f64 {
-        1.0 + self.pending(now) / self.slots
+        let pending = self.pending(now);
+        let waits = (pending + 1.0 - self.slots).max(0.0) / self.slots;
+        1.0 + waits + BUSY_SLOT_COST * pending
     }
 
     fn pending(&self, now: Instant) -> f64 {
