--- a/crates/front/src/beliefs.rs
+++ b/crates/front/src/beliefs.rs
@@ -17,8 +17,8 @@
 /// Without news of the store for this long, a host reads it itself: a reader's watch confirms
 /// each second, and a host asks a reader each one to two seconds.
 const STORE_AGE_MAX: Duration = Duration::from_millis(3000);
-/// How long a host that just started gets to know others before it reads the store: those
-/// that run give it what they know, and of those that start with it a few will read.
+/// How long a host that just started waits for others' news before it reads the store. Only
+/// seeds read at once: all others ask them, also where the whole fleet starts.
 const INTRODUCTION: Duration = Duration::from_millis(900);
 /// Processor time that one gather at a time takes up while it runs, for comparing gatherers.
 const GATHER_MILLICORES: u32 = 40;
@@ -59,7 +59,8 @@
             None => self.membership.age(now),
         };
         if self.confirmed_at.is_none() && age < INTRODUCTION {
-            return false;
+            let own = self.membership.own().address;
+            return self.core.options.seeds.contains(&own);
         }
         age > STORE_AGE_MAX || self.readers().contains(&self.membership.own().address)
     }
--- a/crates/front/src/gossip.rs
+++ b/crates/front/src/gossip.rs
@@ -25,8 +25,9 @@
 const GOSSIP_INTERVAL: Duration = Duration::from_millis(700);
 /// The time over which this host's load is averaged; gatherers must not change with each burst.
 const LOAD_INTERVAL: Duration = Duration::from_secs(3);
-/// The time between two rounds while a host knows no other.
-const SEED_INTERVAL: Duration = Duration::from_millis(250);
+/// The time between the first two rounds while a host knows nothing; doubled with each further
+/// one, up to the usual time.
+const START_INTERVAL: Duration = Duration::from_millis(50);
 /// Peers that are told at once of what traffic goes by; three reach a fleet in a few steps.
 const PUSH_PEERS: usize = 3;
 /// The least time between two such rounds; changes that come in series go together.
@@ -79,8 +80,8 @@
                 self.exchange(peer).await;
             }
             lock(&self.beliefs).choose_gatherers(now());
-            let is_alone = lock(&self.beliefs).membership.size() == 1;
-            let interval = if is_alone { SEED_INTERVAL } else { GOSSIP_INTERVAL };
+            let is_new = lock(&self.beliefs).position().is_none();
+            let interval = if is_new { start_interval(round) } else { GOSSIP_INTERVAL };
             tokio::time::sleep(interval.mul_f64(0.75 + 0.5 * fastrand::f64())).await;
         }
     }
@@ -121,9 +122,10 @@
             let drawn = membership.draw(now, 1).pop();
             (membership.own().address, drawn, membership.draw_lost(now), beliefs.readers())
         };
-        if drawn.is_none() || fastrand::f64() < SEED_SHARE {
+        let is_new = lock(&self.beliefs).position().is_none();
+        if drawn.is_none() || is_new || fastrand::f64() < SEED_SHARE {
             let seed = self.draw_seed();
-            return if fastrand::bool() { seed.or(lost) } else { lost.or(seed) }.or(drawn);
+            return if is_new || fastrand::bool() { seed.or(lost) } else { lost.or(seed) }.or(drawn);
         }
         if round.is_multiple_of(2) && !readers.contains(&own) {
             return fastrand::choice(readers).or(drawn);
@@ -198,6 +200,11 @@
     }
 }
 
+fn start_interval(round: u64) -> Duration {
+    let doublings = round.min(GOSSIP_INTERVAL.as_millis() as u64 / START_INTERVAL.as_millis() as u64);
+    (START_INTERVAL * 2_u32.pow(doublings as u32)).min(GOSSIP_INTERVAL)
+}
+
 fn now() -> Instant {
     tokio::time::Instant::now().into_std()
 }
