--- a/crates/front/src/beliefs.rs
+++ b/crates/front/src/beliefs.rs
@@ -19,7 +19,7 @@
 const STORE_AGE_MAX: Duration = Duration::from_millis(3000);
 /// How long a host that just started waits for others' news before it reads the store. Only
 /// seeds read at once: all others ask them, also where the whole fleet starts.
-const INTRODUCTION: Duration = Duration::from_millis(900);
+const INTRODUCTION: Duration = Duration::from_millis(450);
 /// Processor time that one gather at a time takes up while it runs, for comparing gatherers.
 const GATHER_MILLICORES: u32 = 40;
 /// Marks that one message carries.
--- a/crates/front/src/gossip.rs
+++ b/crates/front/src/gossip.rs
@@ -34,6 +34,8 @@
 const PUSH_INTERVAL: Duration = Duration::from_millis(200);
 /// How long a peer may take; longer than a busy host needs, shorter than a suspicion.
 const PEER_TIMEOUT: Duration = Duration::from_millis(900);
+/// How long a seed may take to answer a host that just started.
+const START_TIMEOUT: Duration = Duration::from_millis(250);
 /// The share of rounds that go to a seed or a lost host, so that parts of a fleet find each
 /// other again.
 const SEED_SHARE: f64 = 0.06;
@@ -75,12 +77,13 @@
                 counted_at = now();
                 parts_per_s = (self.core.take_parts() as f64 / elapsed.as_secs_f64()) as u32;
             }
-            let peer = self.next_peer(round, parts_per_s);
-            if let Some(peer) = peer {
-                self.exchange(peer).await;
+            let is_new = lock(&self.beliefs).position().is_none();
+            if is_new {
+                self.ask_seeds();
+            } else if let Some(peer) = self.next_peer(round, parts_per_s) {
+                self.exchange(peer, PEER_TIMEOUT).await;
             }
             lock(&self.beliefs).choose_gatherers(now());
-            let is_new = lock(&self.beliefs).position().is_none();
             let interval = if is_new { start_interval(round) } else { GOSSIP_INTERVAL };
             tokio::time::sleep(interval.mul_f64(0.75 + 0.5 * fastrand::f64())).await;
         }
@@ -93,7 +96,7 @@
             let peers = lock(&self.beliefs).membership.draw(now(), PUSH_PEERS);
             for peer in peers {
                 let gossip = self.clone();
-                tokio::spawn(async move { gossip.exchange(peer).await });
+                tokio::spawn(async move { gossip.exchange(peer, PEER_TIMEOUT).await });
             }
             tokio::time::sleep(PUSH_INTERVAL).await;
         }
@@ -107,7 +110,17 @@
             beliefs.membership.draw(now(), PUSH_PEERS)
         };
         for peer in peers {
-            self.exchange(peer).await;
+            self.exchange(peer, PEER_TIMEOUT).await;
+        }
+    }
+
+    /// Asks all seeds at once; one that is down must not hold up a host that starts.
+    fn ask_seeds(&self) {
+        let own = lock(&self.beliefs).membership.own().address;
+        let seeds: Vec<SocketAddr> = lock(&self.seeds).iter().copied().filter(|seed| *seed != own).collect();
+        for seed in seeds {
+            let gossip = self.clone();
+            tokio::spawn(async move { gossip.exchange(seed, START_TIMEOUT).await });
         }
     }
 
@@ -122,10 +135,9 @@
             let drawn = membership.draw(now, 1).pop();
             (membership.own().address, drawn, membership.draw_lost(now), beliefs.readers())
         };
-        let is_new = lock(&self.beliefs).position().is_none();
-        if drawn.is_none() || is_new || fastrand::f64() < SEED_SHARE {
+        if drawn.is_none() || fastrand::f64() < SEED_SHARE {
             let seed = self.draw_seed();
-            return if is_new || fastrand::bool() { seed.or(lost) } else { lost.or(seed) }.or(drawn);
+            return if fastrand::bool() { seed.or(lost) } else { lost.or(seed) }.or(drawn);
         }
         if round.is_multiple_of(2) && !readers.contains(&own) {
             return fastrand::choice(readers).or(drawn);
@@ -140,9 +152,9 @@
     }
 
     /// Tells a host how far this one has come, and takes what this one lacks.
-    async fn exchange(&self, peer: SocketAddr) {
+    async fn exchange(&self, peer: SocketAddr, within: Duration) {
         let message = lock(&self.beliefs).news(now());
-        let answer = self.client.post_compact::<News>(peer, NEWS_PATH, &message, PEER_TIMEOUT).await;
+        let answer = self.client.post_compact::<News>(peer, NEWS_PATH, &message, within).await;
         let is_news = {
             let mut beliefs = lock(&self.beliefs);
             match answer {
@@ -167,7 +179,7 @@
         }
         let gossip = self.clone();
         tokio::spawn(async move {
-            gossip.exchange(peer).await;
+            gossip.exchange(peer, PEER_TIMEOUT).await;
             gossip.is_catching_up.store(false, Ordering::SeqCst);
         });
     }
