--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -17,7 +17,8 @@
 use crate::{
     caller_request::{CallerRequest, IntakeError},
     core::Core,
-    fan::{FanRules, fan},
+    fan::fan,
+    fan_rules::FanRules,
     gather::gather,
     reply::{self, CallerReply},
 };
@@ -111,12 +112,12 @@
         hedge_after: route.idempotent.then_some(hedge_after),
         attempts_max: route.attempts_max.max(1) as usize,
     };
-    FanRules { aim, repeats: route.idempotent, usual, is_repeat: false }
+    FanRules { aim, repeats: route.idempotent, usual, is_repeat: false, may_group: false }
 }
 
 async fn single(core: &Arc<Core>, route: &Route, service: &Arc<str>, req: &Arc<CallerRequest>) -> CallerReply {
     let rules = fan_rules(core, route, req, 1);
-    let mut end = fan(core, req, route, std::slice::from_ref(service), rules).await;
+    let mut end = fan(core, req, route, std::slice::from_ref(service), rules, None).await;
     if let Some(answer) = end.parts[0].take() {
         return reply::relayed(answer, &core.options.headers);
     }
--- a/crates/front/src/delegate.rs
+++ b/crates/front/src/delegate.rs
@@ -9,15 +9,16 @@
 use derive_more::Display;
 use egret_events::{Code, log_decision};
 use egret_policy::ExchangeEnd;
-use egret_routes::{GatherPlan, Route};
-use http_body_util::{BodyExt, Full};
-use hyper::{Method, Request, StatusCode};
+use egret_routes::{Backend, GatherPlan, Route};
+use http_body_util::Full;
+use hyper::{Method, Request, StatusCode, body::Incoming};
 
 use crate::{
     caller_request::CallerRequest,
     connection::Connection,
     core::Core,
     gather_call::{GatherCall, GatherReply},
+    gather_frames::FrameReader,
     target::{Running, Target},
     target_set::Want,
 };
@@ -47,7 +48,7 @@
 
 /// Why a gatherer gave no answer.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-enum DelegateError {
+pub(crate) enum DelegateError {
     #[display("cannot be reached")]
     NotSent,
     #[display("did not accept in time")]
@@ -58,6 +59,13 @@
     Broken,
 }
 
+impl DelegateError {
+    /// Tells whether the gatherer may have asked targets.
+    pub(crate) fn may_have_run(self) -> bool {
+        matches!(self, Self::NotAccepted | Self::Broken)
+    }
+}
+
 /// Hands a gather to a host near the targets, if this host is not such a one.
 pub(crate) async fn delegate(
     core: &Arc<Core>,
@@ -79,12 +87,17 @@
         let any: Vec<&str> = near.iter().map(|name| &**name).collect();
         let Some(gatherer) = picked.or_else(|| hosts.pick(now(), &any, &tried, Want::Sound)) else { break };
         tried.push(Arc::clone(&gatherer.replica.id));
-        match call(&gatherer, route, plan, req, is_repeat).await {
+        let called = call(Arc::clone(&gatherer), route, message(route, plan, req, &[], is_repeat)).await;
+        let reply = match called {
+            Ok(mut replies) => replies.next().await,
+            Err(error) => Err(error),
+        };
+        match reply {
             Ok(reply) => return Delegated::Done(reply),
             Err(error) => {
                 let detail = format!("route {}: gatherer {} {error}", route.name, gatherer.replica.id);
                 log_decision(Code::GathererFailed, req.id_text(), &detail);
-                is_repeat |= matches!(error, DelegateError::NotAccepted | DelegateError::Broken);
+                is_repeat |= error.may_have_run();
             }
         }
     }
@@ -109,25 +122,46 @@
     counts.into_iter().filter(|(_, count)| *count >= least).map(|(name, _)| name).collect()
 }
 
-async fn call(
-    gatherer: &Arc<Target>,
+/// Asks a gatherer for the parts of some shards of a plan.
+pub(crate) fn part_call(
+    gatherer: Arc<Target>,
     route: &Route,
-    plan: &GatherPlan,
     req: &CallerRequest,
+    shards: &[usize],
     is_repeat: bool,
-) -> Result<GatherReply, DelegateError> {
+) -> impl Future<Output = Result<FrameReader, DelegateError>> + Send + use<> {
+    let message = match &route.backend {
+        Backend::Gather(plan) => message(route, plan, req, shards, is_repeat),
+        Backend::One(_) | Backend::Split(_) => Bytes::new(),
+    };
+    call(gatherer, route, message)
+}
+
+/// Sends a call and waits until the gatherer has accepted it.
+fn call(
+    gatherer: Arc<Target>,
+    route: &Route,
+    message: Bytes,
+) -> impl Future<Output = Result<FrameReader, DelegateError>> + Send + use<> {
     let usual = Duration::from_millis(route.goal_ms).mul_f64(USUAL_GOAL_SHARE);
-    let mut running = Running::begin(Arc::clone(gatherer), now(), usual);
-    let result = exchange(gatherer, message(route, plan, req, is_repeat)).await;
-    running.end(now(), match &result {
-        Ok(_) => ExchangeEnd::Answered,
-        Err(DelegateError::OtherPlan) => ExchangeEnd::Shed,
-        Err(_) => ExchangeEnd::Unreachable,
-    });
-    result
+    async move {
+        let mut running = Running::begin(Arc::clone(&gatherer), now(), usual);
+        let accepted = accept(&gatherer, message).await;
+        match accepted {
+            Ok((connection, body)) => Ok(FrameReader::new(connection, running, body)),
+            Err(error) => {
+                let end = match error {
+                    DelegateError::OtherPlan => ExchangeEnd::Shed,
+                    _ => ExchangeEnd::Unreachable,
+                };
+                running.end(now(), end);
+                Err(error)
+            }
+        }
+    }
 }
 
-async fn exchange(gatherer: &Arc<Target>, body: Bytes) -> Result<GatherReply, DelegateError> {
+async fn accept(gatherer: &Arc<Target>, body: Bytes) -> Result<(Connection, Incoming), DelegateError> {
     let accept_by = tokio::time::Instant::now() + ACCEPT_TIMEOUT;
     loop {
         let connecting = async {
@@ -142,26 +176,26 @@
         *message.method_mut() = Method::POST;
         *message.uri_mut() = hyper::Uri::from_static(GATHER_PATH);
         let head = tokio::time::timeout_at(accept_by, connection.sender.try_send_request(message)).await;
-        let res = match head.map_err(|_| DelegateError::NotAccepted)? {
-            Ok(res) => res,
+        match head.map_err(|_| DelegateError::NotAccepted)? {
+            Ok(res) if res.status() == StatusCode::OK => return Ok((connection, res.into_body())),
+            Ok(_) => return Err(DelegateError::OtherPlan),
             Err(mut error) => {
-                if error.take_message().is_some() {
-                    continue;
+                if error.take_message().is_none() {
+                    return Err(DelegateError::Broken);
                 }
-                return Err(DelegateError::Broken);
+                // The connection ended while it was idle, before any byte was written.
             }
-        };
-        let status = res.status();
-        let body = res.into_body().collect().await.map_err(|_| DelegateError::Broken)?.to_bytes();
-        connection.keep(gatherer);
-        return match status {
-            StatusCode::OK => egret_wire::decode(&body).map_err(|_| DelegateError::Broken),
-            _ => Err(DelegateError::OtherPlan),
-        };
+        }
     }
 }
 
-fn message(route: &Route, plan: &GatherPlan, req: &CallerRequest, is_repeat: bool) -> Bytes {
+fn message(
+    route: &Route,
+    plan: &GatherPlan,
+    req: &CallerRequest,
+    shards: &[usize],
+    is_repeat: bool,
+) -> Bytes {
     let headers = req.headers.iter();
     let headers =
         headers.map(|(name, value)| (name.as_str().to_owned(), Bytes::copy_from_slice(value.as_bytes())));
@@ -174,6 +208,7 @@
         body: req.body.clone(),
         deadline_ms: req.deadline.as_millis() as u64,
         age_ms: now().saturating_duration_since(req.arrived_at).as_millis() as u64,
+        shards: shards.iter().map(|&shard| shard as u32).collect(),
         is_repeat,
     };
     egret_wire::encode_compact(&call).into()
--- a/crates/front/src/fan.rs
+++ b/crates/front/src/fan.rs
@@ -5,56 +5,31 @@
     time::{Duration, Instant},
 };
 
-use egret_policy::{GatherAim, GatherProgress, GatherStep, ShardChoice, ShardOutlook, choose_shards, on_time};
+use egret_events::{Code, log_decision};
+use egret_policy::{
+    GatherAim, GatherProgress, GatherStep, PartGroup, ShardChoice, ShardOutlook, choose_shards, on_time, part_groups,
+};
 use egret_routes::Route;
-use futures_util::{StreamExt, stream::FuturesUnordered};
+use futures_util::{FutureExt, StreamExt, stream::FuturesUnordered};
 
 use crate::{
     caller_request::CallerRequest,
     core::Core,
+    delegate::{DelegateError, part_call},
     exchange::{ExchangeTerms, exchange},
+    fan_end::FanEnd,
+    fan_rules::FanRules,
+    gather_call::GatherReply,
+    gather_frames::FrameReader,
+    hand_over::HandOver,
     target::Target,
+    target_answer::ExchangeResult,
     target_set::Want,
-    target_answer::{ExchangeResult, LossCause, TargetAnswer},
 };
 
 /// How often services that were left out are looked at again.
 const RECHECK_EVERY: Duration = Duration::from_millis(15);
 
-/// What came of a fan.
-#[derive(Debug, Default)]
-pub(crate) struct FanEnd {
-    /// One part a service, where it is in.
-    pub(crate) parts: Vec<Option<TargetAnswer>>,
-    /// Whether enough parts are in for an answer.
-    pub(crate) is_enough: bool,
-    /// Whether a target may have run the request.
-    pub(crate) may_have_run: bool,
-    /// The last failure that a target signed.
-    pub(crate) failure: Option<TargetAnswer>,
-    /// The last reason why an exchange brought nothing.
-    pub(crate) last_loss: Option<LossCause>,
-    /// Copies beyond the first of each service.
-    pub(crate) extra: u32,
-    /// Set where nothing was sent because too many services are overloaded: when to come back.
-    pub(crate) refused_for: Option<Duration>,
-    /// Services that were left out because they are overloaded.
-    pub(crate) left_out: u32,
-    /// Services for which no target could be asked.
-    pub(crate) without_target: u32,
-}
-
-/// What a fan may do.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct FanRules {
-    pub(crate) aim: GatherAim,
-    /// Whether a request may run again after a copy of it was lost.
-    pub(crate) repeats: bool,
-    pub(crate) usual: Duration,
-    /// Whether another host may have asked targets already, so that first copies are extra.
-    pub(crate) is_repeat: bool,
-}
-
 /// One copy of a request that ended.
 struct CopyEnd {
     shard: usize,
@@ -62,6 +37,54 @@
     result: ExchangeResult,
 }
 
+/// A reply of a gatherer of another data centre, and what reads the next one.
+struct GroupReply {
+    shards: Vec<usize>,
+    result: Result<(GatherReply, FrameReader), DelegateError>,
+    is_first: bool,
+}
+
+/// A gatherer of another data centre that has further replies.
+struct Group {
+    shards: Vec<usize>,
+    replies: FrameReader,
+}
+
+impl Group {
+    async fn next(mut self) -> FanEvent {
+        let result = self.replies.next().await;
+        let result = result.map(|reply| (reply, self.replies));
+        FanEvent::Group(GroupReply { shards: self.shards, result, is_first: false })
+    }
+}
+
+/// What a fan does next.
+enum Next {
+    Copy(NextCopy),
+    Replies(Group),
+}
+
+/// What a fan waits for.
+enum FanEvent {
+    Copy(CopyEnd),
+    Group(GroupReply),
+}
+
+/// A copy that is to be sent.
+struct NextCopy {
+    shard: usize,
+    target: Arc<Target>,
+}
+
+/// Which services that were left out are asked after all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Wanted {
+    /// Those that promise a part by the goal.
+    InTime,
+    /// Those that seem to have a free slot.
+    WithRoom,
+}
+
 /// A request on its way to one replica of each service.
 struct Fan<'a> {
     core: &'a Arc<Core>,
@@ -86,83 +109,94 @@
     route: &Route,
     services: &[Arc<str>],
     rules: FanRules,
+    hand_over: Option<HandOver>,
 ) -> FanEnd {
+    // Parts that are handed over are never enough by themselves: the receiver decides.
+    let goal_at = if hand_over.is_some() { rules.aim.end_at } else { rules.aim.goal_at };
+    let aim = GatherAim { goal_at, ..rules.aim };
     let mut fan = Fan {
         core,
         req,
         route,
         services,
         rules,
-        progress: GatherProgress::new(services.len(), rules.aim),
+        progress: GatherProgress::new(services.len(), aim),
         left_out: Vec::new(),
         tried: vec![Vec::new(); services.len()],
         arrived: vec![0; services.len()],
-        end: FanEnd { parts: vec![None; services.len()], ..FanEnd::default() },
+        end: FanEnd { hand_over, ..FanEnd::new(services.len()) },
     };
-    let mut running = FuturesUnordered::new();
     if let Err(retry_after) = fan.choose() {
         fan.end.refused_for = Some(retry_after);
         return fan.end;
     }
+    let mut running = FuturesUnordered::new();
+    let groups = fan.groups();
+    for (gatherer, shards) in groups {
+        running.push(fan.ask_group(gatherer, shards).boxed());
+    }
     for shard in 0..services.len() {
-        if fan.progress.is_out(shard) {
-            continue;
+        if !fan.progress.is_out(shard) && !fan.progress.is_sent(shard) {
+            running.extend(fan.next_copy(shard).map(|copy| fan.copy(copy).boxed()));
         }
-        running.extend(fan.next_copy(shard).map(|target| fan.copy(shard, target)));
     }
     loop {
-        match fan.progress.next(now()) {
-            GatherStep::Hedge(shard) => match fan.hedge(shard) {
-                Some(target) => running.push(fan.copy(shard, target)),
-                None => fan.progress.hedge_refused(shard),
-            },
+        fan.hand_over();
+        let more = match fan.progress.next(now()) {
+            GatherStep::Hedge(shard) => {
+                let copy = fan.hedge(shard);
+                if copy.is_none() {
+                    fan.progress.hedge_refused(shard);
+                }
+                copy.into_iter().map(Next::Copy).collect()
+            }
             GatherStep::Answer => {
-                let taken_up = fan.take_up();
-                if taken_up.is_empty() {
+                let more = fan.take_up(Wanted::InTime);
+                if more.is_empty() {
                     fan.end.is_enough = true;
-                    return fan.end;
+                    return fan.finish(false);
                 }
-                running.extend(taken_up.into_iter().map(|(shard, target)| fan.copy(shard, target)));
+                more.into_iter().map(Next::Copy).collect()
             }
             GatherStep::GiveUp => {
-                let taken_up = fan.take_up();
-                if !taken_up.is_empty() {
-                    running.extend(taken_up.into_iter().map(|(shard, target)| fan.copy(shard, target)));
-                    continue;
+                let more = fan.take_up(Wanted::WithRoom);
+                if more.is_empty() && !fan.may_still_be_enough() {
+                    return fan.finish(!running.is_empty());
+                }
+                if more.is_empty() {
+                    wait(&mut running, &mut fan, now() + RECHECK_EVERY).await
+                } else {
+                    more.into_iter().map(Next::Copy).collect()
                 }
-                // Copies that are still out may be at work.
-                fan.end.may_have_run |= !running.is_empty();
-                return fan.end;
             }
             GatherStep::Wait(until) => {
                 let until = if fan.left_out.is_empty() { until } else { until.min(now() + RECHECK_EVERY) };
-                let wake = tokio::time::sleep_until(until.into());
-                tokio::select! {
-                    biased;
-                    Some(copy) = running.next() => {
-                        let next = fan.take(copy);
-                        running.extend(next.map(|(shard, target)| fan.copy(shard, target)));
-                    }
-                    () = wake => {
-                        let taken_up = fan.take_up();
-                        running.extend(taken_up.into_iter().map(|(shard, target)| fan.copy(shard, target)));
-                    }
-                }
+                wait(&mut running, &mut fan, until).await
             }
-        }
+        };
+        running.extend(more.into_iter().map(|next| match next {
+            Next::Copy(copy) => fan.copy(copy).boxed(),
+            Next::Replies(group) => group.next().boxed(),
+        }));
     }
 }
 
-impl FanEnd {
-    /// Returns what happened, for logs.
-    pub(crate) fn summary(&self) -> String {
-        let loss = self.last_loss.map_or_else(|| "none".to_owned(), |cause| cause.to_string());
-        let signed = self.failure.as_ref().map_or(0, |answer| answer.status.as_u16());
-        format!(
-            "{} overloaded and left out, {} without target, {} extra copies, may have run: {}, last failure of a target: {signed}, \
-             last loss: {loss}",
-            self.left_out, self.without_target, self.extra, self.may_have_run
-        )
+/// Waits for the end of a copy or of a group, at most until then; returns the copies to send next.
+async fn wait<F>(running: &mut FuturesUnordered<F>, fan: &mut Fan<'_>, until: Instant) -> Vec<Next>
+where
+    F: Future<Output = FanEvent>,
+{
+    let due_at = fan.end.hand_over.as_ref().and_then(HandOver::due_at);
+    let until = due_at.map_or(until, |due_at| due_at.min(until));
+    tokio::select! {
+        biased;
+        Some(event) = running.next() => match event {
+            FanEvent::Copy(copy) => fan.take(copy).into_iter().map(Next::Copy).collect(),
+            FanEvent::Group(group) => fan.take_group(group),
+        },
+        () = tokio::time::sleep_until(until.into()) => {
+            fan.take_up(Wanted::InTime).into_iter().map(Next::Copy).collect()
+        }
     }
 }
 
@@ -185,35 +219,149 @@
                         self.left_out.push(shard);
                     }
                 }
-                self.end.left_out = self.left_out.len() as u32;
                 Ok(())
             }
             ShardChoice::Refuse(retry_after) => Err(retry_after),
         }
     }
 
-    /// Asks services after all that were left out and now promise a part in time.
-    fn take_up(&mut self) -> Vec<(usize, Arc<Target>)> {
+    /// Asks services after all that were left out.
+    fn take_up(&mut self, wanted: Wanted) -> Vec<NextCopy> {
+        if self.left_out.is_empty() {
+            return Vec::new();
+        }
         let now = now();
         let to_goal = self.rules.aim.goal_at.saturating_duration_since(now);
         let targets = self.core.targets.load_full();
-        let is_in_time = |shard: &usize| {
+        let is_wanted = |shard: &usize| {
             let outlook = targets.outlook(now, &self.services[*shard], self.rules.usual);
-            outlook.expected.is_some_and(|expected| expected <= on_time(to_goal))
+            match wanted {
+                Wanted::InTime => outlook.expected.is_some_and(|expected| expected <= on_time(to_goal)),
+                Wanted::WithRoom => outlook.has_room,
+            }
         };
-        let (taken, left): (Vec<usize>, Vec<usize>) = self.left_out.iter().partition(|shard| is_in_time(shard));
+        let (taken, left): (Vec<usize>, Vec<usize>) = self.left_out.iter().partition(|shard| is_wanted(shard));
         self.left_out = left;
         let mut copies = Vec::new();
         for shard in taken {
             self.progress.take_up(shard);
-            self.end.left_out -= 1;
-            copies.extend(self.next_copy(shard).map(|target| (shard, target)));
+            copies.extend(self.next_copy(shard));
         }
         copies
     }
 
+    /// Tells whether services that were left out could still make the answer complete enough.
+    fn may_still_be_enough(&self) -> bool {
+        now() < self.rules.aim.end_at && self.progress.hopeful() + self.left_out.len() >= self.rules.aim.least
+    }
+
+    fn finish(mut self, is_running: bool) -> FanEnd {
+        // Copies that are still out may be at work.
+        self.end.may_have_run |= is_running;
+        self.end.left_out = self.left_out.len();
+        self.end
+    }
+
+    /// Finds gatherers of other data centres for shards that have no target nearby.
+    fn groups(&self) -> Vec<(Arc<Target>, Vec<usize>)> {
+        if !self.rules.may_group {
+            return Vec::new();
+        }
+        let targets = self.core.targets.load();
+        let names = targets.data_centres();
+        let holders: Vec<Vec<usize>> =
+            self.services.iter().map(|service| targets.holders(service, &names)).collect();
+        let own = names.iter().position(|name| **name == *self.core.options.data_centre);
+        let gatherers = self.core.gatherers.load();
+        let mut found = Vec::new();
+        for PartGroup { data_centre, mut shards } in part_groups(&holders, own, fastrand::u64(..)) {
+            shards.retain(|&shard| !self.progress.is_out(shard));
+            let gatherer = gatherers.pick(now(), &[&names[data_centre]], &[], Want::Sound);
+            found.extend(gatherer.map(|gatherer| (gatherer, shards)));
+        }
+        found
+    }
+
+    /// Asks a gatherer of another data centre for the parts of some shards.
+    fn ask_group(
+        &mut self,
+        gatherer: Arc<Target>,
+        shards: Vec<usize>,
+    ) -> impl Future<Output = FanEvent> + Send + use<> {
+        for &shard in &shards {
+            self.progress.sent(now(), shard);
+            // The gatherer there decides on second copies.
+            self.progress.hedge_refused(shard);
+        }
+        let call = part_call(gatherer, self.route, self.req, &shards, self.rules.is_repeat);
+        async move {
+            let result = async {
+                let mut replies = call.await?;
+                Ok((replies.next().await?, replies))
+            };
+            FanEvent::Group(GroupReply { shards, result: result.await, is_first: true })
+        }
+    }
+
+    /// Takes a reply of a gatherer; returns the copies to send for parts that it will not bring.
+    fn take_group(&mut self, group: GroupReply) -> Vec<Next> {
+        match group.result {
+            Ok((reply, replies)) => {
+                let is_last = reply.is_last;
+                self.take_parts(&group.shards, reply);
+                if !is_last {
+                    return vec![Next::Replies(Group { shards: group.shards, replies })];
+                }
+                for shard in group.shards {
+                    if !self.progress.is_done(shard) {
+                        self.progress.failed(shard);
+                        self.progress.give_up_shard(shard);
+                        self.arrived[shard] = 1;
+                        self.left_out.push(shard);
+                    }
+                }
+                Vec::new()
+            }
+            Err(error) => {
+                log_decision(Code::GathererFailed, self.req.id_text(), &format!("parts: {error}"));
+                let may_have_run = error.may_have_run() || !group.is_first;
+                self.end.may_have_run |= may_have_run;
+                let mut copies = Vec::new();
+                for shard in group.shards {
+                    if !self.progress.is_done(shard) {
+                        self.progress.unsent(shard);
+                        self.arrived[shard] = usize::from(may_have_run);
+                        copies.extend(self.next_copy(shard).map(Next::Copy));
+                    }
+                }
+                copies
+            }
+        }
+    }
+
+    fn take_parts(&mut self, shards: &[usize], reply: GatherReply) {
+        self.end.may_have_run |= reply.may_have_run;
+        self.end.extra = self.end.extra.max(reply.extra);
+        for (shard, receipt) in reply.receipts {
+            let shard = shard as usize;
+            if shards.binary_search(&shard).is_ok() && self.end.grouped[shard].is_none() {
+                self.progress.arrived(shard);
+                self.end.grouped[shard] = Some(receipt);
+            }
+        }
+        self.end.grouped_records.push(reply.records);
+    }
+
+    /// Hands parts over that are due, where another gatherer waits for them.
+    fn hand_over(&mut self) {
+        if let Some(mut hand_over) = self.end.hand_over.take() {
+            hand_over.hand(now(), &self.end);
+            self.end.hand_over = Some(hand_over);
+        }
+    }
+
     /// Chooses the target of a first copy, or of a repeat after a failure.
-    fn next_copy(&mut self, shard: usize) -> Option<Arc<Target>> {
+    fn next_copy(&mut self, shard: usize) -> Option<NextCopy> {
         let service = &self.services[shard];
         let target = self.core.targets.load().pick(now(), &[service], &self.tried[shard], Want::Any);
         let Some(target) = target else {
@@ -230,11 +378,11 @@
             self.end.extra += 1;
         }
         self.sent(shard, &target);
-        Some(target)
+        Some(NextCopy { shard, target })
     }
 
     /// Chooses the target of a second copy beside one that still runs.
-    fn hedge(&mut self, shard: usize) -> Option<Arc<Target>> {
+    fn hedge(&mut self, shard: usize) -> Option<NextCopy> {
         let service = &self.services[shard];
         let now_at = now();
         let left = on_time(self.rules.aim.goal_at.saturating_duration_since(now_at));
@@ -247,7 +395,7 @@
         }
         self.end.extra += 1;
         self.sent(shard, &target);
-        Some(target)
+        Some(NextCopy { shard, target })
     }
 
     fn sent(&mut self, shard: usize, target: &Arc<Target>) {
@@ -256,7 +404,8 @@
         self.progress.sent(now(), shard);
     }
 
-    fn copy(&self, shard: usize, target: Arc<Target>) -> impl Future<Output = CopyEnd> + Send + use<> {
+    fn copy(&self, next: NextCopy) -> impl Future<Output = FanEvent> + Send + use<> {
+        let NextCopy { shard, target } = next;
         let sent_at = now();
         let terms = ExchangeTerms {
             end_at: self.rules.aim.end_at,
@@ -266,12 +415,13 @@
         let run = exchange(Arc::clone(self.core), target, Arc::clone(self.req), terms);
         async move {
             let result = run.await;
-            CopyEnd { shard, latency: now().saturating_duration_since(sent_at), result }
+            let latency = now().saturating_duration_since(sent_at);
+            FanEvent::Copy(CopyEnd { shard, latency, result })
         }
     }
 
     /// Takes the end of a copy; returns the next one to send, where there is one.
-    fn take(&mut self, copy: CopyEnd) -> Option<(usize, Arc<Target>)> {
+    fn take(&mut self, copy: CopyEnd) -> Option<NextCopy> {
         let shard = copy.shard;
         match copy.result {
             ExchangeResult::Success(answer) => {
@@ -302,15 +452,26 @@
                     return None;
                 }
             }
-            ExchangeResult::NotRun(_) => {}
+            ExchangeResult::NotRun(_) => {
+                if !self.progress.failed(shard) {
+                    self.progress.give_up_shard(shard);
+                    if !self.progress.is_done(shard) && self.progress.is_out(shard) {
+                        // A replica that had no room may have some later.
+                        self.tried[shard].clear();
+                        self.left_out.push(shard);
+                    }
+                    return None;
+                }
+                return self.next_copy(shard);
+            }
             ExchangeResult::NotSent => {
                 self.arrived[shard] -= 1;
                 self.progress.unsent(shard);
-                return self.next_copy(shard).map(|target| (shard, target));
+                return self.next_copy(shard);
             }
         }
         if self.progress.failed(shard) {
-            return self.next_copy(shard).map(|target| (shard, target));
+            return self.next_copy(shard);
         }
         self.progress.give_up_shard(shard);
         None
--- /dev/null
+++ b/crates/front/src/fan_rules.rs
@@ -0,0 +1,18 @@
+//! What a fan may do.
+
+use std::time::Duration;
+
+use egret_policy::GatherAim;
+
+/// What a fan may do.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FanRules {
+    pub(crate) aim: GatherAim,
+    /// Whether a request may run again after a copy of it was lost.
+    pub(crate) repeats: bool,
+    pub(crate) usual: Duration,
+    /// Whether another host may have asked targets already, so that first copies are extra.
+    pub(crate) is_repeat: bool,
+    /// Whether gatherers of other data centres may be asked for their parts.
+    pub(crate) may_group: bool,
+}
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -2,18 +2,20 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
 use egret_events::{Code, log_decision};
 use egret_routes::{GatherPlan, Route, greatest};
 use hyper::{StatusCode, header::HeaderValue};
+use tokio::sync::mpsc;
 
 use crate::{
     answer::{elapsed_ms, fan_rules, no_answer},
     caller_request::CallerRequest,
     core::Core,
     delegate::{Delegated, delegate},
-    fan::{FanEnd, fan},
-    gather_call::GatherReply,
+    fan::fan,
+    fan_end::FanEnd,
+    gather_call::{GatherCall, GatherReply},
+    hand_over::HandOver,
     reply::{self, CallerReply},
 };
 
@@ -37,7 +39,7 @@
         return no_answer(req, route, outcome.may_have_run);
     }
     let receipts: Vec<HeaderValue> =
-        outcome.receipts.iter().filter_map(|receipt| HeaderValue::from_bytes(receipt).ok()).collect();
+        outcome.receipts.iter().filter_map(|(_, receipt)| HeaderValue::from_bytes(receipt).ok()).collect();
     let missing = plan.shards.len().saturating_sub(receipts.len());
     if receipts.len() != outcome.receipts.len() || receipts.len() < plan.least_shards() {
         log_decision(Code::RequestFailed, req.id_text(), "receipts of a gather cannot be passed on");
@@ -57,24 +59,50 @@
     core.count_parts(plan.shards.len());
     let mut rules = fan_rules(core, route, req, plan.least_shards());
     rules.is_repeat = is_repeat;
-    let end = fan(core, req, route, &plan.shards, rules).await;
+    rules.may_group = true;
+    let end = fan(core, req, route, &plan.shards, rules, None).await;
     log_end(req, route, &end);
-    let parts: Vec<_> = end.parts.iter().flatten().collect();
-    let receipts = parts.iter().filter_map(|part| part.receipt.as_ref());
-    let receipts = receipts.map(|receipt| Bytes::copy_from_slice(receipt.as_bytes())).collect();
-    let bodies: Vec<Bytes> = parts.iter().map(|part| part.body.clone()).collect();
+    let receipts = end.receipts().into_iter().map(|(at, receipt)| (at as u32, receipt)).collect();
     GatherReply {
+        is_last: true,
         is_enough: end.is_enough,
+        extra: end.extra,
         may_have_run: end.may_have_run,
         come_back_ms: end.refused_for.map(|after| after.as_millis() as u64),
         receipts,
-        records: greatest(&bodies, plan.top),
+        records: greatest(&end.records(), plan.top),
     }
 }
 
+/// Asks the targets of some shards for a gatherer of another data centre.
+///
+/// What is in shortly before the goal is sent as a reply of its own, and each part after it;
+/// the other gatherer knows when it has enough. The last reply is returned.
+pub(crate) async fn run_parts(
+    core: &Arc<Core>,
+    route: &Route,
+    plan: &GatherPlan,
+    req: &Arc<CallerRequest>,
+    call: &GatherCall,
+    replies: mpsc::UnboundedSender<GatherReply>,
+) -> GatherReply {
+    let wanted = |at: &u32| plan.shards.get(*at as usize).cloned();
+    let services: Vec<Arc<str>> = call.shards.iter().filter_map(wanted).collect();
+    if services.len() != call.shards.len() {
+        return GatherReply::not_run();
+    }
+    core.count_parts(services.len());
+    let mut rules = fan_rules(core, route, req, 0);
+    rules.is_repeat = call.is_repeat;
+    let hand_over = HandOver::new(&rules.aim, &call.shards, plan.top, replies);
+    let end = fan(core, req, route, &services, rules, Some(hand_over)).await;
+    log_end(req, route, &end);
+    end.hand_over.as_ref().map_or_else(GatherReply::not_run, |hand_over| hand_over.last(&end))
+}
+
 fn log_end(req: &CallerRequest, route: &Route, end: &FanEnd) {
     let all = end.parts.len();
-    let missing = all - end.parts.iter().flatten().count();
+    let missing = all - end.receipts().len();
     if end.is_enough && missing == 0 {
         return;
     }
--- a/crates/front/src/gather_call.rs
+++ b/crates/front/src/gather_call.rs
@@ -24,6 +24,8 @@
         pub deadline_ms: u64,
         /// Milliseconds that have passed since then.
         pub age_ms: u64,
+        /// Indices of the shards that are wanted; all where it is empty.
+        pub shards: Vec<u32>,
         /// Whether another host may have asked targets for this request already.
         pub is_repeat: bool,
     }
@@ -32,14 +34,18 @@
 record! {
     /// What came of a gather.
     pub struct GatherReply {
+        /// Whether nothing follows; the parts of other data centres come in several replies.
+        pub is_last: bool,
         /// Whether enough parts are in for an answer.
         pub is_enough: bool,
+        /// Copies beyond the first of each shard.
+        pub extra: u32,
         /// Whether a target may have run the request.
         pub may_have_run: bool,
         /// Set where nothing was sent because of overload: milliseconds after which to come back.
         pub come_back_ms: Option<u64>,
-        /// The receipts of the parts that are in.
-        pub receipts: Vec<Bytes>,
+        /// The receipts of the parts that are in, each with the index of its shard.
+        pub receipts: Vec<(u32, Bytes)>,
         /// The greatest records of these parts.
         pub records: Bytes,
     }
@@ -50,7 +56,9 @@
     #[must_use]
     pub(crate) fn not_run() -> Self {
         Self {
+            is_last: true,
             is_enough: false,
+            extra: 0,
             may_have_run: false,
             come_back_ms: None,
             receipts: Vec::new(),
--- /dev/null
+++ b/crates/front/src/gather_frames.rs
@@ -0,0 +1,86 @@
+//! The answer to a gather call: a series of replies, each with its length before it.
+
+use std::sync::Arc;
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::{
+    connection::Connection,
+    delegate::DelegateError,
+    gather_call::GatherReply,
+    target::{Running, Target},
+};
+
+/// Bytes of a reply's length.
+const LENGTH_BYTES: usize = 4;
+/// Bytes of one reply, at most: the parts of many shards.
+const REPLY_BYTES_MAX: usize = 32 << 20;
+
+/// Encodes a reply with its length.
+pub(crate) fn encode_frame(reply: &GatherReply) -> Bytes {
+    let body = egret_wire::encode_compact(reply);
+    let mut frame = BytesMut::with_capacity(LENGTH_BYTES + body.len());
+    frame.put_u32(body.len() as u32);
+    frame.extend_from_slice(&body);
+    frame.freeze()
+}
+
+/// Reads the replies of a gatherer; dropped before the last one, it makes the gatherer stop.
+#[derive(Debug)]
+pub(crate) struct FrameReader {
+    gatherer: Arc<Target>,
+    connection: Option<Connection>,
+    running: Running,
+    body: Incoming,
+    buf: BytesMut,
+}
+
+impl FrameReader {
+    pub(crate) fn new(connection: Connection, running: Running, body: Incoming) -> Self {
+        let gatherer = Arc::clone(&running.target);
+        Self { gatherer, connection: Some(connection), running, body, buf: BytesMut::new() }
+    }
+
+    /// Reads the next reply.
+    pub(crate) async fn next(&mut self) -> Result<GatherReply, DelegateError> {
+        loop {
+            if let Some(reply) = self.take_frame()? {
+                if reply.is_last {
+                    self.finish().await;
+                }
+                return Ok(reply);
+            }
+            let frame = self.body.frame().await.ok_or(DelegateError::Broken)?;
+            let frame = frame.map_err(|_| DelegateError::Broken)?;
+            if let Ok(data) = frame.into_data() {
+                self.buf.extend_from_slice(&data);
+            }
+        }
+    }
+
+    fn take_frame(&mut self) -> Result<Option<GatherReply>, DelegateError> {
+        let Some(head) = self.buf.first_chunk::<LENGTH_BYTES>() else { return Ok(None) };
+        let length = u32::from_be_bytes(*head) as usize;
+        if length > REPLY_BYTES_MAX {
+            return Err(DelegateError::Broken);
+        }
+        if self.buf.len() < LENGTH_BYTES + length {
+            return Ok(None);
+        }
+        self.buf.advance(LENGTH_BYTES);
+        let body = self.buf.split_to(length);
+        egret_wire::decode(&body).map(Some).map_err(|_| DelegateError::Broken)
+    }
+
+    /// Keeps the connection once the answer has ended as announced.
+    async fn finish(&mut self) {
+        self.running.end(tokio::time::Instant::now().into_std(), egret_policy::ExchangeEnd::Answered);
+        if self.body.frame().await.is_none()
+            && let Some(connection) = self.connection.take()
+        {
+            connection.keep(&self.gatherer);
+        }
+    }
+}
--- a/crates/front/src/gather_site.rs
+++ b/crates/front/src/gather_site.rs
@@ -14,14 +14,19 @@
     service::service_fn,
 };
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, sync::watch};
+use tokio::{
+    net::TcpStream,
+    sync::{mpsc, watch},
+    task::JoinHandle,
+};
 
 use crate::{
     caller_request::{CallerRequest, fingerprint_of},
     core::Core,
     delegate::GATHER_PATH,
-    gather::run_gather,
+    gather::{run_gather, run_parts},
     gather_call::{GatherCall, GatherReply},
+    gather_frames::encode_frame,
 };
 
 /// Bytes of another host's message, at most: a caller's body and headers fit.
@@ -63,16 +68,30 @@
     let Some(table) = core.table.load_full().filter(|table| find(table, &call).is_some()) else {
         return plain(StatusCode::CONFLICT, "another configuration is in force here\n");
     };
-    // The head goes out at once and tells the sender that the request is taken; the gather
-    // runs as the body is written, and ends when the sender closes the connection.
-    let gathered = async move {
-        let reply = match find(&table, &call) {
-            Some((route, plan)) => gather(&core, route, plan, &call, req).await,
-            None => GatherReply::not_run(),
-        };
-        Ok::<_, Infallible>(Frame::data(Bytes::from(egret_wire::encode_compact(&reply))))
-    };
-    Response::new(StreamBody::new(stream::once(gathered)).boxed_unsync())
+    // The head goes out at once and tells the sender that the request is taken. Replies follow
+    // as they come; the gather ends when the sender closes the connection.
+    let (tx, rx) = mpsc::unbounded_channel();
+    let task = tokio::spawn(async move {
+        if let Some((route, plan)) = find(&table, &call) {
+            let reply = gather(&core, route, plan, &call, req, tx.clone()).await;
+            // A sender that is gone needs no reply.
+            let _ = tx.send(reply);
+        }
+    });
+    let replies = stream::unfold((rx, AbortOnDrop(task)), |(mut rx, task)| async move {
+        let reply = rx.recv().await?;
+        Some((Ok::<_, Infallible>(Frame::data(encode_frame(&reply))), (rx, task)))
+    });
+    Response::new(StreamBody::new(replies).boxed_unsync())
+}
+
+/// Ends a gather when nobody reads its replies any more.
+struct AbortOnDrop(JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
 }
 
 async fn gather(
@@ -81,11 +100,17 @@
     plan: &GatherPlan,
     call: &GatherCall,
     req: CallerRequest,
+    replies: mpsc::UnboundedSender<GatherReply>,
 ) -> GatherReply {
     if core.suspects().is_poison(now(), req.fingerprint) {
         return GatherReply::not_run();
     }
-    run_gather(core, route, plan, &Arc::new(req), call.is_repeat).await
+    let req = Arc::new(req);
+    if call.shards.is_empty() {
+        run_gather(core, route, plan, &req, call.is_repeat).await
+    } else {
+        run_parts(core, route, plan, &req, call, replies).await
+    }
 }
 
 fn find<'a>(table: &'a RouteTable, call: &GatherCall) -> Option<(&'a Route, &'a GatherPlan)> {
--- /dev/null
+++ b/crates/front/src/hand_over.rs
@@ -0,0 +1,80 @@
+//! Handing parts over to a gatherer of another data centre.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use egret_policy::GatherAim;
+use egret_routes::greatest;
+use tokio::sync::mpsc;
+
+use crate::{fan_end::FanEnd, gather_call::GatherReply};
+
+/// How long before the goal the parts that are in are handed over.
+const BEFORE_GOAL: Duration = Duration::from_millis(8);
+
+/// Hands parts over: those that are in shortly before the goal together, later ones one by one.
+#[derive(Debug)]
+pub(crate) struct HandOver {
+    at: Instant,
+    /// The caller's indices of the shards.
+    shards: Vec<u32>,
+    top: usize,
+    replies: mpsc::UnboundedSender<GatherReply>,
+    is_begun: bool,
+    handed: Vec<bool>,
+}
+
+impl HandOver {
+    pub(crate) fn new(
+        aim: &GatherAim,
+        shards: &[u32],
+        top: usize,
+        replies: mpsc::UnboundedSender<GatherReply>,
+    ) -> Self {
+        let at = aim.goal_at.checked_sub(BEFORE_GOAL).unwrap_or(aim.goal_at);
+        Self { at, shards: shards.to_vec(), top, replies, is_begun: false, handed: vec![false; shards.len()] }
+    }
+
+    /// Returns when the first parts are due, until they are handed over.
+    pub(crate) fn due_at(&self) -> Option<Instant> {
+        (!self.is_begun).then_some(self.at)
+    }
+
+    /// Hands over what is in and due.
+    pub(crate) fn hand(&mut self, now: Instant, end: &FanEnd) {
+        if now < self.at {
+            return;
+        }
+        self.is_begun = true;
+        let reply = self.reply(end);
+        if !reply.receipts.is_empty() {
+            for (at, _) in end.receipts() {
+                self.handed[at] = true;
+            }
+            // A gatherer that is gone has closed the connection, which ends this one's work.
+            let _ = self.replies.send(reply);
+        }
+    }
+
+    /// Returns the reply that ends the answer.
+    pub(crate) fn last(&self, end: &FanEnd) -> GatherReply {
+        GatherReply { is_last: true, ..self.reply(end) }
+    }
+
+    fn reply(&self, end: &FanEnd) -> GatherReply {
+        let is_new = |at: &usize| !self.handed[*at];
+        let new = end.receipts().into_iter().filter(|(at, _)| is_new(at));
+        let receipts: Vec<(u32, Bytes)> = new.map(|(at, receipt)| (self.shards[at], receipt)).collect();
+        let parts = end.parts.iter().enumerate().filter(|(at, _)| is_new(at));
+        let bodies: Vec<Bytes> = parts.filter_map(|(_, part)| Some(part.as_ref()?.body.clone())).collect();
+        GatherReply {
+            is_last: false,
+            is_enough: end.is_enough,
+            extra: end.extra,
+            may_have_run: end.may_have_run,
+            come_back_ms: None,
+            receipts,
+            records: greatest(&bodies, self.top),
+        }
+    }
+}
--- a/crates/front/src/target_set.rs
+++ b/crates/front/src/target_set.rs
@@ -84,6 +84,27 @@
         }
     }
 
+    /// Returns the data centres with targets, sorted.
+    pub(crate) fn data_centres(&self) -> Vec<Arc<str>> {
+        let mut names: Vec<Arc<str>> = Vec::new();
+        for target in self.groups.iter().flat_map(|group| &group.targets) {
+            if let Err(at) = names.binary_search(&target.replica.data_centre) {
+                names.insert(at, Arc::clone(&target.replica.data_centre));
+            }
+        }
+        names
+    }
+
+    /// Returns which of some sorted data centres hold targets of a service.
+    pub(crate) fn holders(&self, service: &str, names: &[Arc<str>]) -> Vec<usize> {
+        let targets = self.targets_of(service).iter();
+        let mut found: Vec<usize> =
+            targets.filter_map(|target| names.binary_search(&target.replica.data_centre).ok()).collect();
+        found.sort_unstable();
+        found.dedup();
+        found
+    }
+
     /// Returns what a request may expect of a service's best target.
     pub(crate) fn outlook(&self, now: Instant, service: &str, usual: Duration) -> ShardOutlook {
         let targets = self.targets_of(service);
--- a/crates/policy/src/gather_progress.rs
+++ b/crates/policy/src/gather_progress.rs
@@ -120,6 +120,18 @@
         self.shards[shard].dead
     }
 
+    /// Tells whether a copy for a shard is out.
+    #[must_use]
+    pub fn is_sent(&self, shard: usize) -> bool {
+        self.shards[shard].outstanding > 0
+    }
+
+    /// Returns the number of parts that are in or still out.
+    #[must_use]
+    pub fn hopeful(&self) -> usize {
+        self.shards.iter().filter(|shard| shard.done || !shard.dead).count()
+    }
+
     /// Returns the number of parts that are in.
     #[must_use]
     pub fn done(&self) -> usize {
