--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -11,7 +11,7 @@
 use hyper::{
     Request, StatusCode,
     body::Incoming,
-    header::{CONNECTION, HeaderValue},
+    header::{CONNECTION, HeaderValue, TRANSFER_ENCODING},
 };
 
 use crate::{
@@ -25,8 +25,8 @@
 
 /// What an answer needs to reach its caller: both ways, a new connection, and a busy host.
 const CALLER_MARGIN: Duration = Duration::from_millis(14);
-/// What a final failure needs to reach its caller before it stops to wait.
-const END_MARGIN: Duration = Duration::from_millis(12);
+/// What a final failure needs to reach its caller before it stops to wait, over a busy host.
+const END_MARGIN: Duration = Duration::from_millis(25);
 /// When a caller may come back that was refused for lack of targets, in seconds.
 const RETRY_NO_TARGET: f64 = 0.25;
 /// When a caller may come back while this host knows no configuration, in seconds.
@@ -37,6 +37,9 @@
 /// Answers a caller's request.
 pub(crate) async fn answer(core: Arc<Core>, req: Request<Incoming>) -> CallerReply {
     let arrived_at = now();
+    // Of a length and chunks together the library drops the length. What follows may have been
+    // meant as a part of the body, so nothing more is read from such a connection.
+    let is_chunked = req.headers().contains_key(TRANSFER_ENCODING);
     let mut reply = match core.table.load_full() {
         None => reply::refused(
             StatusCode::SERVICE_UNAVAILABLE,
@@ -51,7 +54,7 @@
             }
         },
     };
-    if core.is_stopping() {
+    if core.is_stopping() || is_chunked {
         reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     reply
--- a/crates/front/src/fan.rs
+++ b/crates/front/src/fan.rs
@@ -30,6 +30,9 @@
 /// How often services that were left out are looked at again.
 const RECHECK_EVERY: Duration = Duration::from_millis(15);
 
+/// Parts that a request may lack to wait for room or budget.
+const LACKING_MAX: usize = 3;
+
 /// One copy of a request that ended.
 struct CopyEnd {
     shard: usize,
@@ -251,8 +254,15 @@
     }
 
     /// Tells whether services that were left out could still make the answer complete enough.
+    ///
+    /// A request that lacks more than a few parts would take budget and slots from others
+    /// and hardly ever become complete. After half of the time the caller is told, so that it
+    /// can come back.
     fn may_still_be_enough(&self) -> bool {
-        now() < self.rules.aim.end_at && self.progress.hopeful() + self.left_out.len() >= self.rules.aim.least
+        let lacking = self.rules.aim.least.saturating_sub(self.progress.hopeful());
+        let GatherAim { goal_at, end_at, .. } = self.rules.aim;
+        let until = goal_at + end_at.saturating_duration_since(goal_at) / 2;
+        now() < until && lacking <= self.left_out.len().min(LACKING_MAX)
     }
 
     fn finish(mut self, is_running: bool) -> FanEnd {
@@ -372,7 +382,9 @@
         if self.arrived[shard] == 0 && !self.rules.is_repeat {
             self.core.earn(now(), service);
         } else if !self.core.spend(now(), service) {
+            // The budget may allow it later.
             self.progress.give_up_shard(shard);
+            self.left_out.push(shard);
             return None;
         } else {
             self.end.extra += 1;
