--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -54,6 +54,7 @@
             }
         },
     };
+    core.instruments.request(reply.status().as_u16(), now().saturating_duration_since(arrived_at));
     if core.is_stopping() || is_chunked {
         reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -17,6 +17,7 @@
     Options,
     caller_request::CallerRequest,
     connection::Connection,
+    instruments::Instruments,
     route_latency::RouteLatency,
     target::Target,
     target_set::TargetSet,
@@ -45,6 +46,7 @@
     pub(crate) table: ArcSwapOption<RouteTable>,
     pub(crate) targets: ArcSwap<TargetSet>,
     pub(crate) suspects: Mutex<Suspects>,
+    pub(crate) instruments: Instruments,
     /// Hosts that gather for others, by data centre.
     pub(crate) gatherers: ArcSwap<TargetSet>,
     hosts: AtomicUsize,
@@ -64,6 +66,7 @@
             table: ArcSwapOption::default(),
             targets: ArcSwap::default(),
             suspects: Mutex::default(),
+            instruments: Instruments::open(),
             gatherers: ArcSwap::default(),
             hosts: AtomicUsize::new(1),
             gatherer_count: AtomicUsize::new(0),
@@ -131,9 +134,24 @@
         *lock(&self.confirmed_at) = at;
     }
 
+    /// Returns how long ago the store last answered a host that told this one.
+    pub(crate) fn store_age(&self, now: Instant) -> Option<Duration> {
+        lock(&self.confirmed_at).map(|at| now.saturating_duration_since(at))
+    }
+
+    /// Returns how many hosts are known.
+    pub(crate) fn known_hosts(&self) -> usize {
+        self.hosts.load(Ordering::Relaxed)
+    }
+
+    /// Returns the extra copies that are left where fewest are.
+    pub(crate) fn least_budget(&self) -> f64 {
+        lock(&self.budgets).iter().map(|budget| budget.value.tokens()).fold(f64::INFINITY, f64::min)
+    }
+
     /// Tells whether a route that is not in the table may have been added since.
     pub(crate) fn may_be_outdated(&self, now: Instant) -> bool {
-        lock(&self.confirmed_at).is_none_or(|at| now.saturating_duration_since(at) > self.options.config_lag)
+        self.store_age(now).is_none_or(|age| age > self.options.config_lag)
     }
 
     pub(crate) fn stop(&self) {
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -56,12 +56,23 @@
         ExchangeResult::NotRun(_) => ExchangeEnd::Shed,
     };
     running.end(now(), end);
+    core.instruments.exchange(end_name(end));
     if matches!(result, ExchangeResult::Lost(LossCause::Broken)) {
         core.suspect(target, &req);
     }
     result
 }
 
+fn end_name(end: ExchangeEnd) -> &'static str {
+    match end {
+        ExchangeEnd::Answered => "answered",
+        ExchangeEnd::Failed => "failed",
+        ExchangeEnd::Shed => "shed",
+        ExchangeEnd::Unreachable => "unreachable",
+        ExchangeEnd::Abandoned => "abandoned",
+    }
+}
+
 async fn send(
     core: &Arc<Core>,
     target: &Arc<Target>,
@@ -95,6 +106,7 @@
         let limit = core.connections_max(&target.replica.service);
         let freed = target.freed.notified();
         if target.state().open < limit {
+            core.instruments.connection();
             return Connection::open(target).await;
         }
         if fresh && target.state().idle.pop().is_some() {
--- a/crates/front/src/fan.rs
+++ b/crates/front/src/fan.rs
@@ -438,6 +438,7 @@
         match copy.result {
             ExchangeResult::Success(answer) => {
                 self.core.with_latency(self.route, |latency| latency.add(copy.latency));
+                self.core.instruments.part(copy.latency);
                 self.progress.arrived(shard);
                 self.end.may_have_run = true;
                 self.end.parts[shard].get_or_insert(answer);
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -21,6 +21,7 @@
     gather_site,
     gossip::{Gossip, NewsSite},
     listener::Listener,
+    metrics_site::MetricsSite,
     reader,
     ready::ReadySite,
 };
@@ -47,12 +48,14 @@
     gathers: Listener,
     _ready: HttpServer,
     _control: HttpServer,
+    _metrics: HttpServer,
     gossip: Gossip,
     tasks: Vec<JoinHandle<()>>,
 }
 
 impl Front {
     /// Starts the daemon; control work runs on the current runtime, callers on `traffic`.
+    /// `dropped_lines` returns the log lines that were dropped so far.
     ///
     /// # Errors
     /// Fails where one of its addresses cannot be listened on.
@@ -60,6 +63,7 @@
         options: Options,
         store: impl Store,
         traffic: &Handle,
+        dropped_lines: impl Fn() -> u64 + Send + Sync + 'static,
     ) -> Result<Self, FrontError> {
         let core = Arc::new(Core::new(options));
         let options = &core.options;
@@ -74,6 +78,8 @@
         let site = NewsSite(gossip.clone());
         let control_server = bind(&control, options.control, limits, site).await?;
         let ready = bind(&control, options.ready, HttpLimits::default(), ReadySite(Arc::clone(&core))).await?;
+        let site = MetricsSite { core: Arc::clone(&core), dropped_lines: Box::new(dropped_lines) };
+        let metrics = bind(&control, options.metrics, HttpLimits::default(), site).await?;
         let address = options.callers;
         let (callers, gathers) = {
             let _guard = traffic.enter();
@@ -94,7 +100,7 @@
             tokio::spawn(reader::follow(Arc::new(store), gossip.clone())),
         ];
         log_decision(Code::Started, "", &format!("{} listens on {address}", options.host));
-        Ok(Self { core, callers, gathers, _ready: ready, _control: control_server, gossip, tasks })
+        Ok(Self { core, callers, gathers, _ready: ready, _control: control_server, _metrics: metrics, gossip, tasks })
     }
 
     /// Asks other hosts first from now on.
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -27,8 +27,14 @@
     req: &Arc<CallerRequest>,
 ) -> CallerReply {
     let outcome = match delegate(core, route, plan, req).await {
-        Delegated::Done(outcome) => outcome,
-        Delegated::Here { is_repeat } => run_gather(core, route, plan, req, is_repeat).await,
+        Delegated::Done(outcome) => {
+            core.instruments.gather("other");
+            outcome
+        }
+        Delegated::Here { is_repeat } => {
+            core.instruments.gather("self");
+            run_gather(core, route, plan, req, is_repeat).await
+        }
     };
     if let Some(come_back_ms) = outcome.come_back_ms {
         let reason = "too many shards are overloaded: come back later";
@@ -38,6 +44,7 @@
     if !outcome.is_enough {
         return no_answer(req, route, outcome.may_have_run);
     }
+    core.instruments.gather_end(plan.shards.len().saturating_sub(outcome.receipts.len()), outcome.extra);
     let receipts: Vec<HeaderValue> =
         outcome.receipts.iter().filter_map(|(_, receipt)| HeaderValue::from_bytes(receipt).ok()).collect();
     let missing = plan.shards.len().saturating_sub(receipts.len());
--- a/crates/front/src/gossip.rs
+++ b/crates/front/src/gossip.rs
@@ -46,7 +46,7 @@
     pub(crate) beliefs: Arc<Mutex<Beliefs>>,
     pub(crate) news: Arc<Notify>,
     is_catching_up: Arc<AtomicBool>,
-    core: Arc<Core>,
+    pub(crate) core: Arc<Core>,
     client: HttpClient,
     seeds: Arc<Mutex<Vec<SocketAddr>>>,
 }
@@ -158,8 +158,12 @@
         let is_news = {
             let mut beliefs = lock(&self.beliefs);
             match answer {
-                Ok(answer) => beliefs.take_news(now(), answer),
+                Ok(answer) => {
+                    self.core.instruments.news("answered");
+                    beliefs.take_news(now(), answer)
+                }
                 Err(error) => {
+                    self.core.instruments.news("failed");
                     if beliefs.membership.suspect(now(), peer) {
                         log_decision(Code::HostSuspected, "", &format!("{peer}: {error}"));
                     }
--- /dev/null
+++ b/crates/front/src/instruments.rs
@@ -0,0 +1,75 @@
+//! Counters and latencies of one host, for scraping.
+
+use std::time::Duration;
+
+use egret_node::{Metrics, label};
+use opentelemetry::metrics::{Counter, Histogram};
+
+/// Counters and latencies of one host; reading them waits for no request.
+#[derive(Debug)]
+pub(crate) struct Instruments {
+    pub(crate) metrics: Metrics,
+    requests: Counter<u64>,
+    latency: Histogram<f64>,
+    part_latency: Histogram<f64>,
+    parts_missing: Counter<u64>,
+    extra_copies: Counter<u64>,
+    exchanges: Counter<u64>,
+    connections: Counter<u64>,
+    gathers: Counter<u64>,
+    store_calls: Counter<u64>,
+    news: Counter<u64>,
+}
+
+impl Instruments {
+    pub(crate) fn open() -> Self {
+        let metrics = Metrics::open();
+        Self {
+            requests: metrics.counter("requests", "Callers' requests by the status that they got."),
+            latency: metrics.latency("request_ms", "Milliseconds until callers' requests were answered."),
+            part_latency: metrics.latency("part_ms", "Milliseconds until targets answered with success."),
+            parts_missing: metrics.counter("parts_missing", "Shards that successful answers lack."),
+            extra_copies: metrics.counter("extra_copies", "Copies beyond the first of each service."),
+            exchanges: metrics.counter("exchanges", "Exchanges with targets by their end."),
+            connections: metrics.counter("connections_opened", "Connections opened to targets."),
+            gathers: metrics.counter("gathers", "Gathers by who asked the targets."),
+            store_calls: metrics.counter("store_calls", "Calls to the platform's store by their end."),
+            news: metrics.counter("news", "Messages to other hosts by their end."),
+            metrics,
+        }
+    }
+
+    pub(crate) fn request(&self, status: u16, latency: Duration) {
+        self.requests.add(1, &[label("status", status)]);
+        self.latency.record(latency.as_secs_f64() * 1000.0, &[]);
+    }
+
+    pub(crate) fn part(&self, latency: Duration) {
+        self.part_latency.record(latency.as_secs_f64() * 1000.0, &[]);
+    }
+
+    pub(crate) fn gather_end(&self, missing: usize, extra: u32) {
+        self.parts_missing.add(missing as u64, &[]);
+        self.extra_copies.add(u64::from(extra), &[]);
+    }
+
+    pub(crate) fn exchange(&self, end: &'static str) {
+        self.exchanges.add(1, &[label("end", end)]);
+    }
+
+    pub(crate) fn connection(&self) {
+        self.connections.add(1, &[]);
+    }
+
+    pub(crate) fn gather(&self, by: &'static str) {
+        self.gathers.add(1, &[label("by", by)]);
+    }
+
+    pub(crate) fn store_call(&self, end: &'static str) {
+        self.store_calls.add(1, &[label("end", end)]);
+    }
+
+    pub(crate) fn news(&self, end: &'static str) {
+        self.news.add(1, &[label("end", end)]);
+    }
+}
--- /dev/null
+++ b/crates/front/src/metrics_site.rs
@@ -0,0 +1,52 @@
+//! The address where this host's counters are scraped.
+
+use std::{fmt::Write, sync::Arc};
+
+use egret_node::{Call, Reply, Site};
+
+use crate::core::Core;
+
+/// The path of the counters.
+const METRICS_PATH: &str = "/metrics";
+
+/// Answers with all counters, and with gauges read at that moment.
+pub(crate) struct MetricsSite {
+    pub(crate) core: Arc<Core>,
+    /// Returns the log lines that were dropped.
+    pub(crate) dropped_lines: Box<dyn Fn() -> u64 + Send + Sync>,
+}
+
+impl Site for MetricsSite {
+    async fn respond(&self, call: Call) -> Reply {
+        if call.path != METRICS_PATH {
+            return Reply::not_found();
+        }
+        let mut text = self.core.instruments.metrics.render();
+        for (name, value) in self.gauges() {
+            // Writing to a string cannot fail.
+            let _ = writeln!(text, "# TYPE egret_{name} gauge\negret_{name} {value}");
+        }
+        Reply::text(200, text)
+    }
+}
+
+impl MetricsSite {
+    fn gauges(&self) -> Vec<(&'static str, f64)> {
+        let core = &self.core;
+        let now = tokio::time::Instant::now().into_std();
+        let state = core.targets.load().state(now);
+        let version = core.table.load().as_ref().map_or(0, |table| table.version().0);
+        vec![
+            ("config_version", version as f64),
+            ("store_age_ms", core.store_age(now).map_or(-1.0, |age| age.as_secs_f64() * 1000.0)),
+            ("hosts", core.known_hosts() as f64),
+            ("is_gatherer", f64::from(u8::from(core.is_gatherer()))),
+            ("targets", state.targets as f64),
+            ("targets_avoided", state.avoided as f64),
+            ("slots_in_use", state.in_flight as f64),
+            ("target_connections", state.connections as f64),
+            ("least_budget", core.least_budget()),
+            ("log_lines_dropped", (self.dropped_lines)() as f64),
+        ]
+    }
+}
--- a/crates/front/src/options.rs
+++ b/crates/front/src/options.rs
@@ -22,6 +22,8 @@
     /// Where other hosts send the gathers that this one runs for them; the port is the
     /// same on all hosts.
     pub gathers: SocketAddr,
+    /// Where counters are scraped.
+    pub metrics: SocketAddr,
     /// Processor time that this host may use, in thousandths of a core.
     pub millicores: u32,
     /// Control addresses of hosts to ask first; they may be stale.
--- a/crates/front/src/reader.rs
+++ b/crates/front/src/reader.rs
@@ -77,6 +77,7 @@
         match read {
             Ok(read) => {
                 calls.succeeded();
+                gossip.core.instruments.store_call("answered");
                 guard.succeeded(now());
                 position = Some(read.revision);
                 let is_quiet = read.replicas.is_empty();
@@ -86,11 +87,13 @@
                 }
             }
             Err(StoreError::HistoryLost) => {
+                gossip.core.instruments.store_call("history lost");
                 log_decision(Code::StoreHistoryLost, "", &format!("after revision {position:?}"));
                 position = None;
             }
             Err(error) => {
                 guard.failed();
+                gossip.core.instruments.store_call("failed");
                 calls.failed(&error).await;
             }
         }
--- a/crates/front/src/target_set.rs
+++ b/crates/front/src/target_set.rs
@@ -17,6 +17,15 @@
 /// Hosts that know the same must not all choose the same target: costs differ by up to this share.
 const JITTER: f64 = 0.1;
 
+/// The state of all targets together.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct TargetsState {
+    pub(crate) targets: usize,
+    pub(crate) avoided: usize,
+    pub(crate) in_flight: usize,
+    pub(crate) connections: usize,
+}
+
 /// Which targets will do.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Want {
@@ -84,6 +93,19 @@
         }
     }
 
+    /// Returns the state of all targets together.
+    pub(crate) fn state(&self, now: Instant) -> TargetsState {
+        let mut sum = TargetsState::default();
+        for target in self.groups.iter().flat_map(|group| &group.targets) {
+            let state = target.state();
+            sum.targets += 1;
+            sum.avoided += usize::from(state.load.is_avoided(now));
+            sum.in_flight += state.load.in_flight();
+            sum.connections += state.open;
+        }
+        sum
+    }
+
     /// Returns the data centres with targets, sorted.
     pub(crate) fn data_centres(&self) -> Vec<Arc<str>> {
         let mut names: Vec<Arc<str>> = Vec::new();
--- /dev/null
+++ b/crates/front/tests/lapse_guard.rs
@@ -0,0 +1,33 @@
+//! Entries that vanish while the store is away.
+
+use std::time::Instant;
+
+use egret_front::{LAPSE_HOLD, LapseGuard};
+use egret_routes::RegistryEntry;
+
+fn gone(id: &str, revision: u64) -> RegistryEntry {
+    RegistryEntry { id: id.into(), revision, replica: None, gone: true }
+}
+
+#[test]
+fn deletions_pass_while_the_store_is_well() {
+    let now = Instant::now();
+    let mut guard = LapseGuard::default();
+    guard.succeeded(now);
+    assert_eq!(guard.pass(now, vec![gone("a", 1)]).len(), 1);
+    assert_eq!(guard.complete_before(), None);
+}
+
+#[test]
+fn after_an_outage_they_wait_until_the_replicas_may_be_back() {
+    let now = Instant::now();
+    let mut guard = LapseGuard::default();
+    guard.failed();
+    guard.succeeded(now);
+    assert!(guard.pass(now, vec![gone("a", 7), gone("b", 9)]).is_empty());
+    assert_eq!(guard.complete_before(), Some(6));
+    let back = RegistryEntry { gone: false, ..gone("a", 11) };
+    assert_eq!(guard.pass(now + LAPSE_HOLD / 2, vec![back.clone()]), [back]);
+    assert_eq!(guard.pass(now + LAPSE_HOLD, Vec::new()), [gone("b", 9)]);
+    assert_eq!(guard.complete_before(), None);
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -47,7 +47,7 @@
 pub use error::NodeError;
 pub use follower::Follower;
 pub use http::{HttpLimits, HttpServer, Site};
-pub use logs::{LogFormat, init_logs};
+pub use logs::{LogFormat, OutputLogs, init_logs};
 pub use metrics::{Metrics, label};
 pub use ops::Ops;
 pub use random::{new_incarnation, new_key, new_query_id};
--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -1,4 +1,4 @@
-//! The log on standard error.
+//! The log on standard error, or on standard output without ever waiting for its reader.
 
 use derive_more::{Display, Error};
 use tracing_subscriber::{EnvFilter, fmt};
@@ -41,3 +41,39 @@
         LogFormat::Json => builder.json().flatten_event(true).try_init(),
     };
 }
+
+/// Lines that wait for the reader of standard output, at most; further ones are dropped.
+const WAITING_LINES_MAX: usize = 8192;
+
+/// The log on standard output; it ends when this is dropped.
+#[derive(Debug)]
+pub struct OutputLogs {
+    _writer: tracing_appender::non_blocking::WorkerGuard,
+    dropped: tracing_appender::non_blocking::ErrorCounter,
+}
+
+impl OutputLogs {
+    /// Starts writing JSON lines of `level` and above; later calls change nothing.
+    ///
+    /// A thread of its own writes. When nobody reads, lines are dropped and counted; no
+    /// request ever waits for the log.
+    #[must_use]
+    pub fn open(level: &str) -> Self {
+        let (writer, guard) = tracing_appender::non_blocking::NonBlockingBuilder::default()
+            .lossy(true)
+            .buffered_lines_limit(WAITING_LINES_MAX)
+            .finish(std::io::stdout());
+        let dropped = writer.error_counter();
+        let filter = EnvFilter::new(format!("warn,egret_events={level}"));
+        let builder = fmt().with_env_filter(filter).with_writer(writer).with_target(false).with_ansi(false);
+        let _ = builder.json().flatten_event(true).try_init();
+        Self { _writer: guard, dropped }
+    }
+
+    /// Returns what reads the number of dropped lines.
+    #[must_use]
+    pub fn dropped(&self) -> impl Fn() -> u64 + Send + Sync + 'static {
+        let dropped = self.dropped.clone();
+        move || dropped.dropped_lines() as u64
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/targets.rs
@@ -0,0 +1,102 @@
+//! How busy and how slow targets seem, and what second copies may cost.
+
+use std::time::{Duration, Instant};
+
+use egret_policy::{ExchangeEnd, RetryBudget, RetryLimits, TargetLoad, weighted_draw};
+
+const USUAL: Duration = Duration::from_millis(20);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+#[test]
+fn a_target_that_pauses_is_dear_before_it_answers() {
+    let start = Instant::now();
+    let mut load = TargetLoad::new(2);
+    load.begin(start, USUAL);
+    assert!(load.cost(start + ms(40)) < 2.0);
+    assert!(load.cost(start + ms(120)) > 5.0, "{}", load.cost(start + ms(120)));
+}
+
+#[test]
+fn a_slow_target_is_dear_and_is_tried_again_later() {
+    let start = Instant::now();
+    let mut load = TargetLoad::new(2);
+    for round in 0..10 {
+        let began = start + ms(round * 200);
+        load.begin(began, USUAL);
+        load.end(began + ms(160), began, ExchangeEnd::Answered);
+    }
+    let then = start + ms(2000);
+    assert!(load.cost(then) > 6.0, "{}", load.cost(then));
+    assert!(load.cost(then + Duration::from_secs(10)) < 1.2);
+}
+
+#[test]
+fn waiting_requests_make_a_target_dear_not_slow() {
+    let start = Instant::now();
+    let mut load = TargetLoad::new(2);
+    load.report(start, 6);
+    assert!(load.cost(start) > 3.0);
+    assert!(load.slowness_at(start) < 1.1);
+    assert!(!load.has_room(start));
+    assert!(load.has_room(start + Duration::from_secs(2)));
+}
+
+#[test]
+fn failures_in_a_row_keep_work_away_for_a_while() {
+    let start = Instant::now();
+    let mut load = TargetLoad::new(2);
+    for _ in 0..3 {
+        load.begin(start, USUAL);
+        load.end(start, start, ExchangeEnd::Failed);
+    }
+    assert!(load.is_avoided(start + ms(400)));
+    assert!(!load.is_avoided(start + ms(600)));
+}
+
+/// The rule counts extra arrivals in any window of ten seconds, over all hosts.
+#[test]
+fn hosts_together_stay_inside_the_budget_in_any_window() {
+    const HOSTS: usize = 20;
+    const STEP_MS: u64 = 10;
+    const QUIET_STEPS: u64 = 2000;
+    let limits = RetryLimits { ratio: 0.2, slack: 129.0, window_ms: 10_000 };
+    for requests_a_step in [0, 1] {
+        let start = Instant::now();
+        let mut hosts: Vec<RetryBudget> =
+            (0..HOSTS).map(|_| RetryBudget::new(start, limits, HOSTS)).collect();
+        let mut extra = Vec::new();
+        for step in 0..4000_u64 {
+            let now = start + ms(step * STEP_MS);
+            let mut spent = 0;
+            for (at, host) in hosts.iter_mut().enumerate() {
+                if requests_a_step > 0 && step % HOSTS as u64 == at as u64 {
+                    host.earn(HOSTS);
+                }
+                // A quiet time lets the hosts save what a bad one then takes at once.
+                spent += u32::from(step > QUIET_STEPS && host.spend(now, HOSTS));
+            }
+            extra.push(spent);
+        }
+        let window = (limits.window_ms / STEP_MS) as usize;
+        let most = extra.windows(window).map(|window| window.iter().sum::<u32>()).max().unwrap();
+        let requests = (window * requests_a_step) as f64;
+        let allowed = limits.ratio * requests + limits.slack;
+        assert!(f64::from(most) <= allowed, "{most} extra arrivals, {allowed} allowed");
+        assert!(f64::from(most) > allowed * 0.5, "{most} of {allowed}: the budget is of use");
+    }
+}
+
+#[test]
+fn a_draw_follows_the_weights() {
+    let weights = [2.0, 0.0, 1.0, f64::NAN, -4.0, 1.0];
+    let mut counts = [0; 6];
+    for step in 0..1000 {
+        counts[weighted_draw(weights, f64::from(step) / 1000.0).unwrap()] += 1;
+    }
+    assert_eq!(counts, [500, 0, 250, 0, 0, 250]);
+    assert_eq!(weighted_draw([0.0, 0.0], 0.5), None);
+    assert_eq!(weighted_draw([], 0.5), None);
+}
