--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -27,6 +27,8 @@
 const CONNECTIONS_SHARE: f64 = 0.6;
 /// Shares of the targets' limits for each gatherer; the rest is for other hosts' needs.
 const GATHERERS_SPARE: f64 = 1.2;
+/// How long another data centre's word of an overload counts; a queue drains in that time.
+const OVERLOAD_LASTS: Duration = Duration::from_millis(200);
 /// Hosts among which limits are shared at least; one that just started knows few others.
 const HOSTS_MIN: usize = 12;
 /// How long a target that broke a connection may take to show that it still runs.
@@ -55,6 +57,8 @@
     parts: AtomicU64,
     stopping: AtomicBool,
     confirmed_at: Mutex<Option<Instant>>,
+    /// When gatherers of other data centres last left services out.
+    overloads: Mutex<Vec<Named<Instant>>>,
     budgets: Mutex<Vec<Named<RetryBudget>>>,
     latencies: Mutex<Vec<Named<RouteLatency>>>,
 }
@@ -74,6 +78,7 @@
             parts: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
             confirmed_at: Mutex::default(),
+            overloads: Mutex::default(),
             budgets: Mutex::default(),
             latencies: Mutex::default(),
         }
@@ -175,6 +180,21 @@
         ((f64::from(all) * CONNECTIONS_SHARE) as usize / hosts).max(1)
     }
 
+    /// Notes that a gatherer of another data centre left services out.
+    pub(crate) fn overloaded_afar<'a>(&self, now: Instant, services: impl Iterator<Item = &'a Arc<str>>) {
+        let mut overloads = lock(&self.overloads);
+        for service in services {
+            *named(&mut overloads, service, || now) = now;
+        }
+    }
+
+    /// Tells whether a gatherer of another data centre left a service out a moment ago.
+    pub(crate) fn is_overloaded_afar(&self, now: Instant, service: &str) -> bool {
+        let overloads = lock(&self.overloads);
+        let at = overloads.binary_search_by(|item| (*item.name).cmp(service));
+        at.is_ok_and(|at| now.saturating_duration_since(overloads[at].value) < OVERLOAD_LASTS)
+    }
+
     /// Counts a first copy at a service.
     pub(crate) fn earn(&self, now: Instant, service: &Arc<str>) {
         let hosts = self.sharing_hosts();
--- a/crates/front/src/fan.rs
+++ b/crates/front/src/fan.rs
@@ -30,6 +30,9 @@
 /// How often services that were left out are looked at again.
 const RECHECK_EVERY: Duration = Duration::from_millis(15);
 
+/// What a part of a shard is expected to take that a gatherer of another data centre left out.
+const OVERLOADED_AFAR: Duration = Duration::from_millis(1000);
+
 /// Parts that a request may lack to wait for room or budget.
 const LACKING_MAX: usize = 3;
 
@@ -211,8 +214,15 @@
         }
         let targets = self.core.targets.load();
         let now = now();
-        let outlooks: Vec<ShardOutlook> =
-            self.services.iter().map(|service| targets.outlook(now, service, self.rules.usual)).collect();
+        let own = &self.core.options.data_centre;
+        let outlook = |service: &Arc<str>| {
+            let is_far = self.rules.may_group && !targets.is_in(service, own);
+            if is_far && self.core.is_overloaded_afar(now, service) {
+                return ShardOutlook { expected: Some(OVERLOADED_AFAR), has_room: false };
+            }
+            targets.outlook(now, service, self.rules.usual)
+        };
+        let outlooks: Vec<ShardOutlook> = self.services.iter().map(outlook).collect();
         let to_goal = self.rules.aim.goal_at.saturating_duration_since(now);
         match choose_shards(&outlooks, self.rules.aim.least, to_goal) {
             ShardChoice::Ask(asked) => {
@@ -222,6 +232,7 @@
                         self.left_out.push(shard);
                     }
                 }
+                self.end.overloaded.clone_from(&self.left_out);
                 Ok(())
             }
             ShardChoice::Refuse(retry_after) => Err(retry_after),
@@ -350,6 +361,8 @@
     }
 
     fn take_parts(&mut self, shards: &[usize], reply: GatherReply) {
+        let overloaded = reply.overloaded.iter().filter_map(|&at| self.services.get(at as usize));
+        self.core.overloaded_afar(now(), overloaded);
         self.end.may_have_run |= reply.may_have_run;
         self.end.extra = self.end.extra.max(reply.extra);
         for (shard, receipt) in reply.receipts {
--- a/crates/front/src/fan_end.rs
+++ b/crates/front/src/fan_end.rs
@@ -28,6 +28,8 @@
     pub(crate) extra: u32,
     /// Set where nothing was sent because too many services are overloaded: when to come back.
     pub(crate) refused_for: Option<Duration>,
+    /// Services that were overloaded at the start.
+    pub(crate) overloaded: Vec<usize>,
     /// Services that were left out because they are overloaded.
     pub(crate) left_out: usize,
     /// How the parts go to a gatherer of another data centre, where they do.
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -29,8 +29,8 @@
 /// How long callers may still come after the signal to stop: two questions of the balancer
 /// go unanswered, and connections that were under way arrive.
 const NOTICE: Duration = Duration::from_millis(2800);
-/// What remains of the grace for the end of the process itself.
-const END_RESERVE: Duration = Duration::from_millis(400);
+/// What remains of the grace for the end of the process itself, on a busy host.
+const END_RESERVE: Duration = Duration::from_millis(800);
 
 /// Why a host daemon does not start.
 #[derive(Debug, Display, Error)]
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -76,6 +76,7 @@
         extra: end.extra,
         may_have_run: end.may_have_run,
         come_back_ms: end.refused_for.map(|after| after.as_millis() as u64),
+        overloaded: Vec::new(),
         receipts,
         records: greatest(&end.records(), plan.top),
     }
--- a/crates/front/src/gather_call.rs
+++ b/crates/front/src/gather_call.rs
@@ -44,6 +44,8 @@
         pub may_have_run: bool,
         /// Set where nothing was sent because of overload: milliseconds after which to come back.
         pub come_back_ms: Option<u64>,
+        /// Indices of shards that were left out because they are overloaded.
+        pub overloaded: Vec<u32>,
         /// The receipts of the parts that are in, each with the index of its shard.
         pub receipts: Vec<(u32, Bytes)>,
         /// The greatest records of these parts.
@@ -61,6 +63,7 @@
             extra: 0,
             may_have_run: false,
             come_back_ms: None,
+            overloaded: Vec::new(),
             receipts: Vec::new(),
             records: Bytes::new(),
         }
--- a/crates/front/src/hand_over.rs
+++ b/crates/front/src/hand_over.rs
@@ -73,6 +73,7 @@
             extra: end.extra,
             may_have_run: end.may_have_run,
             come_back_ms: None,
+            overloaded: end.overloaded.iter().map(|&at| self.shards[at]).collect(),
             receipts,
             records: greatest(&bodies, self.top),
         }
--- a/crates/front/src/target_set.rs
+++ b/crates/front/src/target_set.rs
@@ -117,6 +117,11 @@
         names
     }
 
+    /// Tells whether a service has a target in a data centre.
+    pub(crate) fn is_in(&self, service: &str, data_centre: &str) -> bool {
+        self.targets_of(service).iter().any(|target| *target.replica.data_centre == *data_centre)
+    }
+
     /// Returns which of some sorted data centres hold targets of a service.
     pub(crate) fn holders(&self, service: &str, names: &[Arc<str>]) -> Vec<usize> {
         let targets = self.targets_of(service).iter();
