Ask no gatherer for nothing: a whole answer was merged into one in parts

Ruled out: late second answers, parts of two versions, truncated parts. Change: whole and part calls are told apart by type, empty groups are not asked, a reply with a part that is not wanted is refused whole; a lost gatherer's shards are not asked again where that could reach a third replica; budgets of one-replica services are shared among all hosts; accepted connections end when their peer is cut off.

--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -46,13 +46,15 @@
             "no configuration is known yet: try another host",
             Some(RETRY_NO_TABLE),
         ),
-        Some(table) => match CallerRequest::take(req, &core.options.headers, table.limits(), arrived_at).await {
-            Ok(req) => route(&core, &table, Arc::new(req)).await,
-            Err(error) => {
-                log_intake(error);
-                reply::not_taken(error)
+        Some(table) => {
+            match CallerRequest::take(req, &core.options.headers, table.limits(), arrived_at).await {
+                Ok(req) => route(&core, &table, Arc::new(req)).await,
+                Err(error) => {
+                    log_intake(error);
+                    reply::not_taken(error)
+                }
             }
-        },
+        }
     };
     core.instruments.request(reply.status().as_u16(), now().saturating_duration_since(arrived_at));
     if core.is_stopping() || is_chunked {
@@ -76,12 +78,10 @@
     }
     match &route.backend {
         Backend::One(service) => single(core, route, service, &req).await,
-        Backend::Split(parts) => {
-            match weighted_draw(parts.iter().map(|part| part.weight), fastrand::f64()) {
-                Some(at) => single(core, route, &parts[at].service, &req).await,
-                None => no_target(&req, route),
-            }
-        }
+        Backend::Split(parts) => match weighted_draw(parts.iter().map(|part| part.weight), fastrand::f64()) {
+            Some(at) => single(core, route, &parts[at].service, &req).await,
+            None => no_target(&req, route),
+        },
         Backend::Gather(plan) => gather(core, route, plan, &req).await,
     }
 }
@@ -107,8 +107,7 @@
 pub(crate) fn fan_rules(core: &Core, route: &Route, req: &CallerRequest, least: usize) -> FanRules {
     let allowed = req.deadline.saturating_sub(END_MARGIN).min(Duration::from_millis(route.timeout_ms));
     let goal = Duration::from_millis(route.goal_ms).saturating_sub(CALLER_MARGIN);
-    let (usual, hedge_after) =
-        core.with_latency(route, |latency| (latency.usual(), latency.hedge_after()));
+    let (usual, hedge_after) = core.with_latency(route, |latency| (latency.usual(), latency.hedge_after()));
     let aim = GatherAim {
         least,
         goal_at: req.arrived_at + goal,
@@ -119,7 +118,12 @@
     FanRules { aim, repeats: route.idempotent, usual, is_repeat: false, may_group: false }
 }
 
-async fn single(core: &Arc<Core>, route: &Route, service: &Arc<str>, req: &Arc<CallerRequest>) -> CallerReply {
+async fn single(
+    core: &Arc<Core>,
+    route: &Route,
+    service: &Arc<str>,
+    req: &Arc<CallerRequest>,
+) -> CallerReply {
     let rules = fan_rules(core, route, req, 1);
     let mut end = fan(core, req, route, std::slice::from_ref(service), rules, None).await;
     if let Some(answer) = end.parts[0].take() {
--- a/crates/front/src/caller_request.rs
+++ b/crates/front/src/caller_request.rs
@@ -10,6 +10,7 @@
     HeaderMap, Method, Request, Uri, Version,
     body::Incoming,
     header::{CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING},
+    http::uri::Authority,
 };
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -102,7 +103,7 @@
 
 fn host_of(headers: &HeaderMap, uri: &Uri) -> Option<String> {
     let named = headers.get(HOST).and_then(|value| value.to_str().ok());
-    let host = uri.authority().map(|authority| authority.as_str()).or(named)?;
+    let host = uri.authority().map(Authority::as_str).or(named)?;
     let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
     Some(name.to_ascii_lowercase())
 }
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -14,13 +14,8 @@
 use egret_routes::{Registry, Replica, Route, RouteTable};
 
 use crate::{
-    Options,
-    caller_request::CallerRequest,
-    connection::Connection,
-    instruments::Instruments,
-    route_latency::RouteLatency,
-    target::Target,
-    target_set::TargetSet,
+    Options, caller_request::CallerRequest, connection::Connection, instruments::Instruments,
+    route_latency::RouteLatency, target::Target, target_set::TargetSet,
 };
 
 /// The share of a target's connections that hosts use; the rest is for hosts that come and go.
@@ -123,13 +118,13 @@
         self.parts.swap(0, Ordering::Relaxed)
     }
 
-    /// Returns among how many hosts the targets' limits are shared.
+    /// Returns among how many hosts the limits of a service's targets are shared.
     ///
-    /// Gatherers share among themselves; another host asks targets of gathers only where no
-    /// gatherer answers.
-    fn sharing_hosts(&self) -> usize {
+    /// For the shards of gathers, gatherers share among themselves: another host asks these
+    /// targets only where no gatherer answers.
+    fn sharing_hosts(&self, is_shard: bool) -> usize {
         let gatherers = self.gatherer_count.load(Ordering::Relaxed);
-        if self.is_gatherer() && gatherers > 0 {
+        if is_shard && self.is_gatherer() && gatherers > 0 {
             return (gatherers as f64 * GATHERERS_SPARE).ceil() as usize;
         }
         self.hosts.load(Ordering::Relaxed).max(HOSTS_MIN)
@@ -173,10 +168,10 @@
     }
 
     /// Returns how many connections this host may open to each target of a service.
-    pub(crate) fn connections_max(&self, service: &str) -> usize {
+    pub(crate) fn connections_max(&self, service: &str, is_shard: bool) -> usize {
         let table = self.table.load();
         let all = table.as_ref().and_then(|table| table.service(service)).map_or(1, |s| s.connections_max);
-        let hosts = self.sharing_hosts();
+        let hosts = self.sharing_hosts(is_shard);
         ((f64::from(all) * CONNECTIONS_SHARE) as usize / hosts).max(1)
     }
 
@@ -196,19 +191,25 @@
     }
 
     /// Counts a first copy at a service.
-    pub(crate) fn earn(&self, now: Instant, service: &Arc<str>) {
-        let hosts = self.sharing_hosts();
-        self.with_budget(now, service, |budget| budget.earn(hosts));
+    pub(crate) fn earn(&self, now: Instant, service: &Arc<str>, is_shard: bool) {
+        let hosts = self.sharing_hosts(is_shard);
+        self.with_budget(now, service, hosts, |budget| budget.earn(hosts));
     }
 
     /// Takes a second copy at a service out of the budget, if there is one.
-    pub(crate) fn spend(&self, now: Instant, service: &Arc<str>) -> bool {
-        let hosts = self.sharing_hosts();
-        self.with_budget(now, service, |budget| budget.spend(now, hosts))
+    pub(crate) fn spend(&self, now: Instant, service: &Arc<str>, is_shard: bool) -> bool {
+        let hosts = self.sharing_hosts(is_shard);
+        self.with_budget(now, service, hosts, |budget| budget.spend(now, hosts))
     }
 
-    fn with_budget<R>(&self, now: Instant, service: &Arc<str>, act: impl FnOnce(&mut RetryBudget) -> R) -> R {
-        let create = || RetryBudget::new(now, self.options.retries, self.sharing_hosts());
+    fn with_budget<R>(
+        &self,
+        now: Instant,
+        service: &Arc<str>,
+        hosts: usize,
+        act: impl FnOnce(&mut RetryBudget) -> R,
+    ) -> R {
+        let create = || RetryBudget::new(now, self.options.retries, hosts);
         act(named(&mut lock(&self.budgets), service, create))
     }
 
--- a/crates/front/src/delegate.rs
+++ b/crates/front/src/delegate.rs
@@ -87,7 +87,7 @@
         let any: Vec<&str> = near.iter().map(|name| &**name).collect();
         let Some(gatherer) = picked.or_else(|| hosts.pick(now(), &any, &tried, Want::Sound)) else { break };
         tried.push(Arc::clone(&gatherer.replica.id));
-        let called = call(Arc::clone(&gatherer), route, message(route, plan, req, &[], is_repeat)).await;
+        let called = call(Arc::clone(&gatherer), route, message(route, plan, req, None, is_repeat)).await;
         let reply = match called {
             Ok(mut replies) => replies.next().await,
             Err(error) => Err(error),
@@ -98,12 +98,24 @@
                 let detail = format!("route {}: gatherer {} {error}", route.name, gatherer.replica.id);
                 log_decision(Code::GathererFailed, req.id_text(), &detail);
                 is_repeat |= error.may_have_run();
+                if error == DelegateError::Broken && has_spare_replicas(core, route, plan) {
+                    return Delegated::Done(GatherReply { may_have_run: true, ..GatherReply::not_run() });
+                }
             }
         }
     }
     Delegated::Here { is_repeat }
 }
 
+/// Tells whether a shard has more replicas than a request may be sent to.
+///
+/// Which of them a lost gatherer asked is not known, so the request must not run again here;
+/// its caller may send it again.
+fn has_spare_replicas(core: &Core, route: &Route, plan: &GatherPlan) -> bool {
+    let targets = core.targets.load();
+    plan.shards.iter().any(|shard| targets.targets_of(shard).len() > route.attempts_max as usize)
+}
+
 /// Returns the data centres that hold targets for most shards of a plan.
 fn data_centres(core: &Core, plan: &GatherPlan) -> Vec<Arc<str>> {
     let targets = core.targets.load();
@@ -131,7 +143,7 @@
     is_repeat: bool,
 ) -> impl Future<Output = Result<FrameReader, DelegateError>> + Send + use<> {
     let message = match &route.backend {
-        Backend::Gather(plan) => message(route, plan, req, shards, is_repeat),
+        Backend::Gather(plan) => message(route, plan, req, Some(shards), is_repeat),
         Backend::One(_) | Backend::Split(_) => Bytes::new(),
     };
     call(gatherer, route, message)
@@ -193,7 +205,7 @@
     route: &Route,
     plan: &GatherPlan,
     req: &CallerRequest,
-    shards: &[usize],
+    shards: Option<&[usize]>,
     is_repeat: bool,
 ) -> Bytes {
     let headers = req.headers.iter();
@@ -208,7 +220,7 @@
         body: req.body.clone(),
         deadline_ms: req.deadline.as_millis() as u64,
         age_ms: now().saturating_duration_since(req.arrived_at).as_millis() as u64,
-        shards: shards.iter().map(|&shard| shard as u32).collect(),
+        shards: shards.map(|shards| shards.iter().map(|&shard| shard as u32).collect()),
         is_repeat,
     };
     egret_wire::encode_compact(&call).into()
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -34,6 +34,8 @@
     pub(crate) usual: Duration,
     /// Whether only a new connection will do: none on which an earlier answer could still come.
     pub(crate) fresh: bool,
+    /// Whether the target holds a shard of a gather.
+    pub(crate) is_shard: bool,
 }
 
 /// Sends a request to a target and reads its whole answer.
@@ -80,7 +82,7 @@
     terms: ExchangeTerms,
 ) -> ExchangeResult {
     loop {
-        let Some(mut connection) = connect(core, target, terms.fresh).await else {
+        let Some(mut connection) = connect(core, target, terms).await else {
             return ExchangeResult::NotSent;
         };
         let message = message(core, target, req, terms.end_at);
@@ -98,18 +100,20 @@
     }
 }
 
-async fn connect(core: &Arc<Core>, target: &Arc<Target>, fresh: bool) -> Option<Connection> {
+async fn connect(core: &Arc<Core>, target: &Arc<Target>, terms: ExchangeTerms) -> Option<Connection> {
     loop {
-        if !fresh && let Some(connection) = Connection::reuse(target).await {
+        if !terms.fresh
+            && let Some(connection) = Connection::reuse(target).await
+        {
             return Some(connection);
         }
-        let limit = core.connections_max(&target.replica.service);
+        let limit = core.connections_max(&target.replica.service, terms.is_shard);
         let freed = target.freed.notified();
         if target.state().open < limit {
             core.instruments.connection();
             return Connection::open(target).await;
         }
-        if fresh && target.state().idle.pop().is_some() {
+        if terms.fresh && target.state().idle.pop().is_some() {
             // Its driver ends soon and makes room.
             tokio::task::yield_now().await;
             continue;
@@ -118,12 +122,7 @@
     }
 }
 
-fn message(
-    core: &Core,
-    target: &Target,
-    req: &CallerRequest,
-    end_at: Instant,
-) -> Request<Full<Bytes>> {
+fn message(core: &Core, target: &Target, req: &CallerRequest, end_at: Instant) -> Request<Full<Bytes>> {
     let names = &core.options.headers;
     let mut message = Request::new(Full::new(req.body.clone()));
     *message.method_mut() = req.method.clone();
@@ -178,7 +177,8 @@
 
 fn take_load(core: &Core, target: &Target, headers: &hyper::HeaderMap) {
     let load = headers.get(&core.options.headers.load).and_then(|value| value.to_str().ok());
-    let mut numbers = load.into_iter().flat_map(|text| text.split(',')).map(|item| item.trim().parse::<u32>());
+    let mut numbers =
+        load.into_iter().flat_map(|text| text.split(',')).map(|item| item.trim().parse::<u32>());
     if let (Some(Ok(running)), Some(Ok(waiting))) = (numbers.next(), numbers.next()) {
         target.state().load.report(now(), running.saturating_add(waiting));
     }
--- a/crates/front/src/fan.rs
+++ b/crates/front/src/fan.rs
@@ -7,9 +7,10 @@
 
 use egret_events::{Code, log_decision};
 use egret_policy::{
-    GatherAim, GatherProgress, GatherStep, PartGroup, ShardChoice, ShardOutlook, choose_shards, on_time, part_groups,
+    GatherAim, GatherProgress, GatherStep, PartGroup, ShardChoice, ShardOutlook, choose_shards, on_time,
+    part_groups,
 };
-use egret_routes::Route;
+use egret_routes::{Backend, Route};
 use futures_util::{FutureExt, StreamExt, stream::FuturesUnordered};
 
 use crate::{
@@ -23,7 +24,7 @@
     gather_frames::FrameReader,
     hand_over::HandOver,
     target::Target,
-    target_answer::ExchangeResult,
+    target_answer::{ExchangeResult, LossCause},
     target_set::Want,
 };
 
@@ -98,6 +99,8 @@
     route: &'a Route,
     services: &'a [Arc<str>],
     rules: FanRules,
+    /// Whether the services are the shards of a gather.
+    is_gather: bool,
     progress: GatherProgress,
     /// Services that are overloaded and not asked yet.
     left_out: Vec<usize>,
@@ -126,6 +129,7 @@
         route,
         services,
         rules,
+        is_gather: matches!(route.backend, Backend::Gather(_)),
         progress: GatherProgress::new(services.len(), aim),
         left_out: Vec::new(),
         tried: vec![Vec::new(); services.len()],
@@ -254,7 +258,8 @@
                 Wanted::WithRoom => outlook.has_room,
             }
         };
-        let (taken, left): (Vec<usize>, Vec<usize>) = self.left_out.iter().partition(|shard| is_wanted(shard));
+        let (taken, left): (Vec<usize>, Vec<usize>) =
+            self.left_out.iter().partition(|shard| is_wanted(shard));
         self.left_out = left;
         let mut copies = Vec::new();
         for shard in taken {
@@ -280,6 +285,8 @@
         // Copies that are still out may be at work.
         self.end.may_have_run |= is_running;
         self.end.left_out = self.left_out.len();
+        let is_not_asked = |shard: &usize| self.arrived[*shard] == 0;
+        self.end.not_asked = (0..self.services.len()).filter(is_not_asked).collect();
         self.end
     }
 
@@ -297,6 +304,9 @@
         let mut found = Vec::new();
         for PartGroup { data_centre, mut shards } in part_groups(&holders, own, fastrand::u64(..)) {
             shards.retain(|&shard| !self.progress.is_out(shard));
+            if shards.is_empty() {
+                continue;
+            }
             let gatherer = gatherers.pick(now(), &[&names[data_centre]], &[], Want::Sound);
             found.extend(gatherer.map(|gatherer| (gatherer, shards)));
         }
@@ -329,50 +339,85 @@
         match group.result {
             Ok((reply, replies)) => {
                 let is_last = reply.is_last;
-                self.take_parts(&group.shards, reply);
+                let not_asked = reply.not_asked.clone();
+                if !self.take_parts(&group.shards, reply) {
+                    return self.lose_group(group.shards, DelegateError::Broken, false);
+                }
                 if !is_last {
                     return vec![Next::Replies(Group { shards: group.shards, replies })];
                 }
-                for shard in group.shards {
-                    if !self.progress.is_done(shard) {
-                        self.progress.failed(shard);
-                        self.progress.give_up_shard(shard);
-                        self.arrived[shard] = 1;
-                        self.left_out.push(shard);
-                    }
-                }
+                self.leave_unbrought(&group.shards, &not_asked);
                 Vec::new()
             }
-            Err(error) => {
-                log_decision(Code::GathererFailed, self.req.id_text(), &format!("parts: {error}"));
-                let may_have_run = error.may_have_run() || !group.is_first;
-                self.end.may_have_run |= may_have_run;
-                let mut copies = Vec::new();
-                for shard in group.shards {
-                    if !self.progress.is_done(shard) {
-                        self.progress.unsent(shard);
-                        self.arrived[shard] = usize::from(may_have_run);
-                        copies.extend(self.next_copy(shard).map(Next::Copy));
-                    }
+            Err(error) => self.lose_group(group.shards, error, group.is_first),
+        }
+    }
+
+    /// Gives up the parts that a gatherer did not bring; those that it asked nobody for may
+    /// still be asked from here.
+    fn leave_unbrought(&mut self, shards: &[usize], not_asked: &[u32]) {
+        for &shard in shards {
+            if !self.progress.is_done(shard) {
+                self.progress.failed(shard);
+                self.progress.give_up_shard(shard);
+                if not_asked.contains(&(shard as u32)) {
+                    self.left_out.push(shard);
                 }
-                copies
             }
         }
     }
 
-    fn take_parts(&mut self, shards: &[usize], reply: GatherReply) {
+    /// Asks targets for the parts that a gatherer will not bring.
+    ///
+    /// Which targets it asked is not known, so a shard with more replicas than the route allows
+    /// for one request is not asked again.
+    fn lose_group(&mut self, shards: Vec<usize>, error: DelegateError, is_first: bool) -> Vec<Next> {
+        log_decision(Code::GathererFailed, self.req.id_text(), &format!("parts: {error}"));
+        let may_have_run = error.may_have_run() || !is_first;
+        self.end.may_have_run |= may_have_run;
+        let mut copies = Vec::new();
+        for shard in shards {
+            if self.progress.is_done(shard) {
+                continue;
+            }
+            self.progress.unsent(shard);
+            let replicas = self.core.targets.load().targets_of(&self.services[shard]).len();
+            if may_have_run && replicas > self.rules.aim.attempts_max {
+                self.progress.give_up_shard(shard);
+            } else {
+                self.arrived[shard] = usize::from(may_have_run);
+                copies.extend(self.next_copy(shard).map(Next::Copy));
+            }
+        }
+        copies
+    }
+
+    /// Takes the parts of a reply; returns whether they are all parts that were asked for.
+    ///
+    /// The records of a reply are merged and cannot be told apart, so a reply with a part that
+    /// is in already, or that nobody asked for, is of no use.
+    fn take_parts(&mut self, shards: &[usize], reply: GatherReply) -> bool {
         let overloaded = reply.overloaded.iter().filter_map(|&at| self.services.get(at as usize));
         self.core.overloaded_afar(now(), overloaded);
         self.end.may_have_run |= reply.may_have_run;
         self.end.extra = self.end.extra.max(reply.extra);
+        let is_wanted = |shard: usize| {
+            shards.binary_search(&shard).is_ok()
+                && self.end.grouped[shard].is_none()
+                && self.end.parts[shard].is_none()
+        };
+        if !reply.receipts.iter().all(|(shard, _)| is_wanted(*shard as usize)) {
+            return false;
+        }
+        if reply.receipts.is_empty() {
+            return true;
+        }
         for (shard, receipt) in reply.receipts {
-            let shard = shard as usize;
-            if shards.binary_search(&shard).is_ok() && self.end.grouped[shard].is_none() {
-                self.progress.arrived(shard);
-                self.end.grouped[shard] = Some(receipt);
-            }
+            self.progress.arrived(shard as usize);
+            self.end.grouped[shard as usize] = Some(receipt);
         }
         self.end.grouped_records.push(reply.records);
+        true
     }
 
     /// Hands parts over that are due, where another gatherer waits for them.
@@ -393,8 +438,8 @@
             return None;
         };
         if self.arrived[shard] == 0 && !self.rules.is_repeat {
-            self.core.earn(now(), service);
-        } else if !self.core.spend(now(), service) {
+            self.core.earn(now(), service, self.is_gather);
+        } else if !self.core.spend(now(), service, self.is_gather) {
             // The budget may allow it later.
             self.progress.give_up_shard(shard);
             self.left_out.push(shard);
@@ -415,7 +460,7 @@
         let affordable = left.max(self.rules.usual).div_duration_f64(self.rules.usual);
         let want = Want::Within(affordable);
         let target = self.core.targets.load().pick(now_at, &[service], &self.tried[shard], want)?;
-        if !self.core.spend(now(), service) {
+        if !self.core.spend(now(), service, self.is_gather) {
             return None;
         }
         self.end.extra += 1;
@@ -435,7 +480,9 @@
         let terms = ExchangeTerms {
             end_at: self.rules.aim.end_at,
             usual: self.rules.usual,
-            fresh: !self.rules.repeats,
+            // An answer to an earlier request may wait on a connection that was used before.
+            fresh: !self.rules.repeats || self.end.last_loss == Some(LossCause::Foreign),
+            is_shard: self.is_gather,
         };
         let run = exchange(Arc::clone(self.core), target, Arc::clone(self.req), terms);
         async move {
@@ -454,7 +501,9 @@
                 self.core.instruments.part(copy.latency);
                 self.progress.arrived(shard);
                 self.end.may_have_run = true;
-                self.end.parts[shard].get_or_insert(answer);
+                if self.end.grouped[shard].is_none() {
+                    self.end.parts[shard].get_or_insert(answer);
+                }
                 return None;
             }
             ExchangeResult::Failure(answer) => {
--- a/crates/front/src/fan_end.rs
+++ b/crates/front/src/fan_end.rs
@@ -30,6 +30,8 @@
     pub(crate) refused_for: Option<Duration>,
     /// Services that were overloaded at the start.
     pub(crate) overloaded: Vec<usize>,
+    /// Services for which no target was asked in the end.
+    pub(crate) not_asked: Vec<usize>,
     /// Services that were left out because they are overloaded.
     pub(crate) left_out: usize,
     /// How the parts go to a gatherer of another data centre, where they do.
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -72,12 +72,18 @@
             ..Member::new(options.control, Arc::clone(&options.data_centre), unix_ms())
         };
         let beliefs = Beliefs::new(Arc::clone(&core), Membership::new(now(), own));
-        let gossip = Gossip::new(Arc::clone(&core), beliefs, HttpClient::open_at(1, options.control), options.seeds.clone());
+        let gossip = Gossip::new(
+            Arc::clone(&core),
+            beliefs,
+            HttpClient::open_at(1, options.control),
+            options.seeds.clone(),
+        );
         let control = Handle::current();
         let limits = HttpLimits::internal();
         let site = NewsSite(gossip.clone());
         let control_server = bind(&control, options.control, limits, site).await?;
-        let ready = bind(&control, options.ready, HttpLimits::default(), ReadySite(Arc::clone(&core))).await?;
+        let ready =
+            bind(&control, options.ready, HttpLimits::default(), ReadySite(Arc::clone(&core))).await?;
         let site = MetricsSite { core: Arc::clone(&core), dropped_lines: Box::new(dropped_lines) };
         let metrics = bind(&control, options.metrics, HttpLimits::default(), site).await?;
         let address = options.callers;
@@ -100,7 +106,16 @@
             tokio::spawn(reader::follow(Arc::new(store), gossip.clone())),
         ];
         log_decision(Code::Started, "", &format!("{} listens on {address}", options.host));
-        Ok(Self { core, callers, gathers, _ready: ready, _control: control_server, _metrics: metrics, gossip, tasks })
+        Ok(Self {
+            core,
+            callers,
+            gathers,
+            _ready: ready,
+            _control: control_server,
+            _metrics: metrics,
+            gossip,
+            tasks,
+        })
     }
 
     /// Asks other hosts first from now on.
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -14,7 +14,7 @@
     delegate::{Delegated, delegate},
     fan::fan,
     fan_end::FanEnd,
-    gather_call::{GatherCall, GatherReply},
+    gather_call::GatherReply,
     hand_over::HandOver,
     reply::{self, CallerReply},
 };
@@ -77,6 +77,7 @@
         may_have_run: end.may_have_run,
         come_back_ms: end.refused_for.map(|after| after.as_millis() as u64),
         overloaded: Vec::new(),
+        not_asked: Vec::new(),
         receipts,
         records: greatest(&end.records(), plan.top),
     }
@@ -91,18 +92,19 @@
     route: &Route,
     plan: &GatherPlan,
     req: &Arc<CallerRequest>,
-    call: &GatherCall,
+    shards: &[u32],
+    is_repeat: bool,
     replies: mpsc::UnboundedSender<GatherReply>,
 ) -> GatherReply {
     let wanted = |at: &u32| plan.shards.get(*at as usize).cloned();
-    let services: Vec<Arc<str>> = call.shards.iter().filter_map(wanted).collect();
-    if services.len() != call.shards.len() {
+    let services: Vec<Arc<str>> = shards.iter().filter_map(wanted).collect();
+    if services.len() != shards.len() {
         return GatherReply::not_run();
     }
     core.count_parts(services.len());
     let mut rules = fan_rules(core, route, req, 0);
-    rules.is_repeat = call.is_repeat;
-    let hand_over = HandOver::new(&rules.aim, &call.shards, plan.top, replies);
+    rules.is_repeat = is_repeat;
+    let hand_over = HandOver::new(&rules.aim, shards, plan.top, replies);
     let end = fan(core, req, route, &services, rules, Some(hand_over)).await;
     log_end(req, route, &end);
     end.hand_over.as_ref().map_or_else(GatherReply::not_run, |hand_over| hand_over.last(&end))
--- a/crates/front/src/gather_call.rs
+++ b/crates/front/src/gather_call.rs
@@ -24,8 +24,8 @@
         pub deadline_ms: u64,
         /// Milliseconds that have passed since then.
         pub age_ms: u64,
-        /// Indices of the shards that are wanted; all where it is empty.
-        pub shards: Vec<u32>,
+        /// Indices of the shards whose parts are wanted; `None` asks for a whole answer.
+        pub shards: Option<Vec<u32>>,
         /// Whether another host may have asked targets for this request already.
         pub is_repeat: bool,
     }
@@ -46,6 +46,8 @@
         pub come_back_ms: Option<u64>,
         /// Indices of shards that were left out because they are overloaded.
         pub overloaded: Vec<u32>,
+        /// Indices of shards for which no target was asked, in the last reply.
+        pub not_asked: Vec<u32>,
         /// The receipts of the parts that are in, each with the index of its shard.
         pub receipts: Vec<(u32, Bytes)>,
         /// The greatest records of these parts.
@@ -64,6 +66,7 @@
             may_have_run: false,
             come_back_ms: None,
             overloaded: Vec::new(),
+            not_asked: Vec::new(),
             receipts: Vec::new(),
             records: Bytes::new(),
         }
--- a/crates/front/src/gather_site.rs
+++ b/crates/front/src/gather_site.rs
@@ -1,6 +1,10 @@
 //! Gathers for other hosts.
 
-use std::{convert::Infallible, sync::Arc, time::{Duration, Instant}};
+use std::{
+    convert::Infallible,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use egret_routes::{Backend, GatherPlan, Route, RouteTable};
@@ -106,10 +110,9 @@
         return GatherReply::not_run();
     }
     let req = Arc::new(req);
-    if call.shards.is_empty() {
-        run_gather(core, route, plan, &req, call.is_repeat).await
-    } else {
-        run_parts(core, route, plan, &req, call, replies).await
+    match &call.shards {
+        None => run_gather(core, route, plan, &req, call.is_repeat).await,
+        Some(shards) => run_parts(core, route, plan, &req, shards, call.is_repeat, replies).await,
     }
 }
 
--- a/crates/front/src/hand_over.rs
+++ b/crates/front/src/hand_over.rs
@@ -73,9 +73,15 @@
             extra: end.extra,
             may_have_run: end.may_have_run,
             come_back_ms: None,
-            overloaded: end.overloaded.iter().map(|&at| self.shards[at]).collect(),
+            overloaded: self.indices(&end.overloaded),
+            not_asked: self.indices(&end.not_asked),
             receipts,
             records: greatest(&bodies, self.top),
         }
     }
+
+    /// Returns the caller's indices of some shards.
+    fn indices(&self, shards: &[usize]) -> Vec<u32> {
+        shards.iter().map(|&at| self.shards[at]).collect()
+    }
 }
--- a/crates/front/src/listener.rs
+++ b/crates/front/src/listener.rs
@@ -11,6 +11,7 @@
 };
 
 use egret_events::{Code, log_decision};
+use socket2::TcpKeepalive;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -21,6 +22,10 @@
 const BACKLOG_CONNECTIONS: i32 = 1024;
 /// How long to wait after the system had no descriptor for a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// How long sent bytes may stay unacknowledged; longer than short cuts of a link.
+const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(10);
+/// After this silence the peer is probed, and again as often.
+const KEEPALIVE_AFTER: Duration = Duration::from_secs(10);
 const STOP_POLL: Duration = Duration::from_millis(10);
 
 /// An address that takes connections, each served by a task of its own.
@@ -76,7 +81,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                if stream.set_nodelay(true).is_err() {
+                if prepare(&stream).is_err() {
                     // The peer is gone already.
                     continue;
                 }
@@ -96,6 +101,14 @@
     }
 }
 
+/// Sets what ends a connection whose peer is cut off, so that it does not stay for good.
+fn prepare(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = socket2::SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX))?;
+    socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(KEEPALIVE_AFTER).with_interval(KEEPALIVE_AFTER))
+}
+
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = socket2::Socket::new(
         socket2::Domain::for_address(address),
--- a/crates/front/src/reply.rs
+++ b/crates/front/src/reply.rs
@@ -66,7 +66,9 @@
         IntakeError::NoHost => (StatusCode::BAD_REQUEST, "the request names no host: send Host"),
         IntakeError::Framing => (StatusCode::BAD_REQUEST, "the request's length is ambiguous: state it once"),
         IntakeError::BodyTooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "the body is over the limit: send less"),
-        IntakeError::BodyTooSlow => (StatusCode::REQUEST_TIMEOUT, "the body did not arrive in time: send it again"),
+        IntakeError::BodyTooSlow => {
+            (StatusCode::REQUEST_TIMEOUT, "the body did not arrive in time: send it again")
+        }
         IntakeError::BodyBroken => (StatusCode::BAD_REQUEST, "the body broke off: send it again"),
     };
     let mut reply = refused(status, reason, None);
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -50,9 +50,6 @@
     fn read(&self) -> impl Future<Output = Result<StoreRead, StoreError>> + Send;
 
     /// Waits for changes after a revision, at most for `wait`.
-    fn watch(
-        &self,
-        after: u64,
-        wait: Duration,
-    ) -> impl Future<Output = Result<StoreRead, StoreError>> + Send;
+    fn watch(&self, after: u64, wait: Duration)
+    -> impl Future<Output = Result<StoreRead, StoreError>> + Send;
 }
--- a/crates/front/src/target_set.rs
+++ b/crates/front/src/target_set.rs
@@ -52,11 +52,7 @@
 
 impl TargetSet {
     /// Builds the set for the usable replicas; targets that stay keep their state.
-    pub(crate) fn rebuild<'a>(
-        &self,
-        replicas: impl Iterator<Item = &'a Replica>,
-        data_centre: &str,
-    ) -> Self {
+    pub(crate) fn rebuild<'a>(&self, replicas: impl Iterator<Item = &'a Replica>, data_centre: &str) -> Self {
         let mut next = Self::default();
         for replica in replicas {
             let known = self.targets_of(&replica.service).iter().find(|target| target.is_same(replica));
--- a/crates/front/src/timed_io.rs
+++ b/crates/front/src/timed_io.rs
@@ -59,7 +59,11 @@
 }
 
 impl AsyncRead for TimedIo {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
         if buf.filled().len() > before {
--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -71,7 +71,6 @@
     }
 
     /// Returns what reads the number of dropped lines.
-    #[must_use]
     pub fn dropped(&self) -> impl Fn() -> u64 + Send + Sync + 'static {
         let dropped = self.dropped.clone();
         move || dropped.dropped_lines() as u64
--- a/crates/policy/src/retry_budget.rs
+++ b/crates/policy/src/retry_budget.rs
@@ -72,7 +72,8 @@
         let window = Duration::from_millis(self.limits.window_ms);
         let windows = now.saturating_duration_since(self.refilled_at).as_secs_f64() / window.as_secs_f64();
         self.refilled_at = now;
-        self.tokens = (self.tokens + windows * self.slack_share(hosts) * REFILLED_SLACK).min(self.saved_max(hosts));
+        self.tokens =
+            (self.tokens + windows * self.slack_share(hosts) * REFILLED_SLACK).min(self.saved_max(hosts));
     }
 
     fn slack_share(&self, hosts: usize) -> f64 {
--- a/crates/policy/src/shard_choice.rs
+++ b/crates/policy/src/shard_choice.rs
@@ -56,8 +56,12 @@
     let is_possible = needed.len() >= least && late.iter().all(is_worth_asking);
     if is_possible {
         // Others with free slots may come in as well; those without would only wait.
-        let mut asked: Vec<usize> =
-            order.into_iter().enumerate().filter(|&(rank, at)| rank < least || outlooks[at].has_room).map(|(_, at)| at).collect();
+        let mut asked: Vec<usize> = order
+            .into_iter()
+            .enumerate()
+            .filter(|&(rank, at)| rank < least || outlooks[at].has_room)
+            .map(|(_, at)| at)
+            .collect();
         asked.sort_unstable();
         return ShardChoice::Ask(asked);
     }
--- a/crates/policy/tests/gathers.rs
+++ b/crates/policy/tests/gathers.rs
@@ -209,7 +209,8 @@
 
 #[test]
 fn far_shards_are_grouped_by_as_few_data_centres_as_hold_them() {
-    let holders = vec![vec![0], vec![1], vec![1, 2], vec![1, 2], vec![1], vec![0, 2], vec![2], vec![2], vec![2]];
+    let holders =
+        vec![vec![0], vec![1], vec![1, 2], vec![1, 2], vec![1], vec![0, 2], vec![2], vec![2], vec![2]];
     let groups = part_groups(&holders, Some(0), 0);
     assert_eq!(
         groups,
--- a/crates/routes/src/caller_limits.rs
+++ b/crates/routes/src/caller_limits.rs
@@ -20,6 +20,11 @@
 impl Default for CallerLimits {
     /// Returns the limits that hold before the first configuration is known.
     fn default() -> Self {
-        Self { header_bytes: 16 << 10, body_bytes: 256 << 10, header_timeout_ms: 3000, idle_timeout_ms: 15_000 }
+        Self {
+            header_bytes: 16 << 10,
+            body_bytes: 256 << 10,
+            header_timeout_ms: 3000,
+            idle_timeout_ms: 15_000,
+        }
     }
 }
--- a/crates/routes/tests/routes.rs
+++ b/crates/routes/tests/routes.rs
@@ -42,7 +42,9 @@
 
 #[test]
 fn the_least_number_of_shards_is_the_share_rounded_up() {
-    for (count, least_share, expected) in [(20, 0.89, 18), (20, 0.9, 18), (20, 0.75, 15), (30, 0.89, 27), (1, 0.0, 1)] {
+    for (count, least_share, expected) in
+        [(20, 0.89, 18), (20, 0.9, 18), (20, 0.75, 15), (30, 0.89, 27), (1, 0.0, 1)]
+    {
         let shards = (0..count).map(|shard| format!("s{shard}").into()).collect();
         let plan = GatherPlan { shards, top: 5, least_share };
         assert_eq!(plan.least_shards(), expected, "{count} {least_share}");
@@ -50,7 +52,8 @@
 }
 
 fn part(records: &[u8], rest: usize) -> Bytes {
-    let mut bytes: Vec<u8> = records.iter().flat_map(|&first| std::iter::once(first).chain([0; 15])).collect();
+    let mut bytes: Vec<u8> =
+        records.iter().flat_map(|&first| std::iter::once(first).chain([0; 15])).collect();
     bytes.extend(vec![255; rest]);
     bytes.into()
 }
