--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -1,9 +1,6 @@
 //! From a caller's request to its answer.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
 use egret_events::{Code, log_decision};
 use egret_policy::{GatherAim, weighted_draw};
@@ -16,6 +13,7 @@
 
 use crate::{
     caller_request::{CallerRequest, IntakeError},
+    clock::now,
     core::Core,
     fan::fan,
     fan_rules::FanRules,
@@ -152,7 +150,3 @@
 pub(crate) fn elapsed_ms(req: &CallerRequest) -> u128 {
     now().saturating_duration_since(req.arrived_at).as_millis()
 }
-
-fn now() -> Instant {
-    tokio::time::Instant::now().into_std()
-}
--- a/crates/front/src/caller_connection.rs
+++ b/crates/front/src/caller_connection.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     answer::answer,
+    clock::now,
     core::Core,
     timed_io::{Activity, ActivityCell, TimedIo},
 };
@@ -77,7 +78,3 @@
         _ => Overdue::Nothing,
     }
 }
-
-fn now() -> Instant {
-    tokio::time::Instant::now().into_std()
-}
--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -11,7 +11,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
-use crate::target::Target;
+use crate::{clock::now, target::Target};
 
 /// Longer than the ways between data centres and a busy target's handshake need.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -95,7 +95,3 @@
     stream.set_nodelay(true)?;
     socket2::SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX))
 }
-
-fn now() -> Instant {
-    tokio::time::Instant::now().into_std()
-}
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -14,7 +14,7 @@
 use egret_routes::{Registry, Replica, Route, RouteTable};
 
 use crate::{
-    Options, caller_request::CallerRequest, connection::Connection, instruments::Instruments,
+    Options, caller_request::CallerRequest, clock::now, connection::Connection, instruments::Instruments,
     route_latency::RouteLatency, target::Target, target_set::TargetSet,
 };
 
@@ -229,7 +229,7 @@
                 connection.keep(&target);
                 return;
             }
-            let now = tokio::time::Instant::now().into_std();
+            let now = now();
             let breaks = lock(&core.suspects).mark(now, fingerprint, true);
             let detail = format!("target {} is down after it; crashes {breaks}", target.replica.id);
             log_decision(Code::SuspectMarked, id.to_str().unwrap_or_default(), &detail);
--- a/crates/front/src/delegate.rs
+++ b/crates/front/src/delegate.rs
@@ -1,9 +1,6 @@
 //! Handing a gather to the host that asks the targets for this one.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use derive_more::Display;
@@ -15,6 +12,7 @@
 
 use crate::{
     caller_request::CallerRequest,
+    clock::now,
     connection::Connection,
     core::Core,
     gather_call::{GatherCall, GatherReply},
@@ -225,7 +223,3 @@
     };
     egret_wire::encode_compact(&call).into()
 }
-
-fn now() -> Instant {
-    tokio::time::Instant::now().into_std()
-}
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     caller_request::CallerRequest,
+    clock::now,
     connection::Connection,
     core::Core,
     target::{Running, Target},
@@ -190,7 +191,3 @@
     let timeout = text.split(',').find_map(|item| item.trim().strip_prefix("timeout="))?;
     Some(Duration::from_secs(timeout.parse().ok()?))
 }
-
-fn now() -> Instant {
-    tokio::time::Instant::now().into_std()
-}
--- /dev/null
+++ b/crates/front/src/fan/copies.rs
@@ -0,0 +1,153 @@
+//! Copies of a request: which targets get one, and what came of it.
+
+use std::{sync::Arc, time::Duration};
+
+use egret_policy::on_time;
+
+use super::{Fan, FanEvent};
+use crate::{
+    clock::now,
+    exchange::{ExchangeTerms, exchange},
+    target::Target,
+    target_answer::{ExchangeResult, LossCause},
+    target_set::Want,
+};
+
+/// A copy that is to be sent.
+pub(super) struct NextCopy {
+    pub(super) shard: usize,
+    pub(super) target: Arc<Target>,
+}
+
+/// One copy of a request that ended.
+pub(super) struct CopyEnd {
+    pub(super) shard: usize,
+    pub(super) latency: Duration,
+    pub(super) result: ExchangeResult,
+}
+
+impl Fan<'_> {
+    /// Chooses the target of a first copy, or of a repeat after a failure.
+    pub(super) fn next_copy(&mut self, shard: usize) -> Option<NextCopy> {
+        let service = &self.services[shard];
+        let target = self.core.targets.load().pick(now(), &[service], &self.tried[shard], Want::Any);
+        let Some(target) = target else {
+            self.end.without_target += u32::from(self.arrived[shard] == 0);
+            self.progress.give_up_shard(shard);
+            return None;
+        };
+        if self.arrived[shard] == 0 && !self.rules.is_repeat {
+            self.core.earn(now(), service, self.is_gather);
+        } else if !self.core.spend(now(), service, self.is_gather) {
+            // The budget may allow it later.
+            self.progress.give_up_shard(shard);
+            self.left_out.push(shard);
+            return None;
+        } else {
+            self.end.extra += 1;
+        }
+        self.sent(shard, &target);
+        Some(NextCopy { shard, target })
+    }
+
+    /// Chooses the target of a second copy beside one that still runs.
+    pub(super) fn hedge(&mut self, shard: usize) -> Option<NextCopy> {
+        let service = &self.services[shard];
+        let now_at = now();
+        let left = on_time(self.rules.aim.goal_at.saturating_duration_since(now_at));
+        // After the goal, a copy that nobody waits behind still shortens the answer's delay.
+        let affordable = left.max(self.rules.usual).div_duration_f64(self.rules.usual);
+        let want = Want::Within(affordable);
+        let target = self.core.targets.load().pick(now_at, &[service], &self.tried[shard], want)?;
+        if !self.core.spend(now(), service, self.is_gather) {
+            return None;
+        }
+        self.end.extra += 1;
+        self.sent(shard, &target);
+        Some(NextCopy { shard, target })
+    }
+
+    pub(super) fn sent(&mut self, shard: usize, target: &Arc<Target>) {
+        self.tried[shard].push(Arc::clone(&target.replica.id));
+        self.arrived[shard] += 1;
+        self.progress.sent(now(), shard);
+    }
+
+    pub(super) fn copy(&self, next: NextCopy) -> impl Future<Output = FanEvent> + Send + use<> {
+        let NextCopy { shard, target } = next;
+        let sent_at = now();
+        let terms = ExchangeTerms {
+            end_at: self.rules.aim.end_at,
+            usual: self.rules.usual,
+            // An answer to an earlier request may wait on a connection that was used before.
+            fresh: !self.rules.repeats || self.end.last_loss == Some(LossCause::Foreign),
+            is_shard: self.is_gather,
+        };
+        let run = exchange(Arc::clone(self.core), target, Arc::clone(self.req), terms);
+        async move {
+            let result = run.await;
+            let latency = now().saturating_duration_since(sent_at);
+            FanEvent::Copy(CopyEnd { shard, latency, result })
+        }
+    }
+
+    /// Takes the end of a copy; returns the next one to send, where there is one.
+    pub(super) fn take(&mut self, copy: CopyEnd) -> Option<NextCopy> {
+        let shard = copy.shard;
+        match copy.result {
+            ExchangeResult::Success(answer) => {
+                self.core.with_latency(self.route, |latency| latency.add(copy.latency));
+                self.core.instruments.part(copy.latency);
+                self.progress.arrived(shard);
+                self.end.may_have_run = true;
+                if self.end.grouped[shard].is_none() {
+                    self.end.parts[shard].get_or_insert(answer);
+                }
+                return None;
+            }
+            ExchangeResult::Failure(answer) => {
+                self.end.may_have_run = true;
+                let is_final = !answer.status.is_server_error();
+                if answer.receipt.is_some() {
+                    self.end.failure = Some(answer);
+                }
+                if is_final || !self.rules.repeats {
+                    self.progress.failed(shard);
+                    self.progress.give_up_shard(shard);
+                    return None;
+                }
+            }
+            ExchangeResult::Lost(cause) => {
+                self.end.may_have_run = true;
+                self.end.last_loss = Some(cause);
+                if !self.rules.repeats {
+                    self.progress.failed(shard);
+                    self.progress.give_up_shard(shard);
+                    return None;
+                }
+            }
+            ExchangeResult::NotRun(_) => {
+                if !self.progress.failed(shard) {
+                    self.progress.give_up_shard(shard);
+                    if !self.progress.is_done(shard) && self.progress.is_out(shard) {
+                        // A replica that had no room may have some later.
+                        self.tried[shard].clear();
+                        self.left_out.push(shard);
+                    }
+                    return None;
+                }
+                return self.next_copy(shard);
+            }
+            ExchangeResult::NotSent => {
+                self.arrived[shard] -= 1;
+                self.progress.unsent(shard);
+                return self.next_copy(shard);
+            }
+        }
+        if self.progress.failed(shard) {
+            return self.next_copy(shard);
+        }
+        self.progress.give_up_shard(shard);
+        None
+    }
+}
--- /dev/null
+++ b/crates/front/src/fan/groups.rs
@@ -0,0 +1,182 @@
+//! Parts that gatherers of other data centres bring, or that are brought to one.
+
+use std::sync::Arc;
+
+use egret_events::{Code, log_decision};
+use egret_policy::{PartGroup, part_groups};
+
+use super::{Fan, FanEvent, Next};
+use crate::{
+    clock::now,
+    delegate::{DelegateError, part_call},
+    gather_call::GatherReply,
+    gather_frames::FrameReader,
+    target::Target,
+    target_set::Want,
+};
+
+/// A reply of a gatherer of another data centre, and what reads the next one.
+pub(super) struct GroupReply {
+    pub(super) shards: Vec<usize>,
+    pub(super) result: Result<(GatherReply, FrameReader), DelegateError>,
+    pub(super) is_first: bool,
+}
+
+/// A gatherer of another data centre that has further replies.
+pub(super) struct Group {
+    pub(super) shards: Vec<usize>,
+    pub(super) replies: FrameReader,
+}
+
+impl Group {
+    pub(super) async fn next(mut self) -> FanEvent {
+        let result = self.replies.next().await;
+        let result = result.map(|reply| (reply, self.replies));
+        FanEvent::Group(GroupReply { shards: self.shards, result, is_first: false })
+    }
+}
+
+impl Fan<'_> {
+    /// Finds gatherers of other data centres for shards that have no target nearby.
+    pub(super) fn groups(&self) -> Vec<(Arc<Target>, Vec<usize>)> {
+        if !self.rules.may_group {
+            return Vec::new();
+        }
+        let targets = self.core.targets.load();
+        let names = targets.data_centres();
+        let holders: Vec<Vec<usize>> =
+            self.services.iter().map(|service| targets.holders(service, &names)).collect();
+        let own = names.iter().position(|name| **name == *self.core.options.data_centre);
+        let gatherers = self.core.gatherers.load();
+        let mut found = Vec::new();
+        for PartGroup { data_centre, mut shards } in part_groups(&holders, own, fastrand::u64(..)) {
+            shards.retain(|&shard| !self.progress.is_out(shard));
+            if shards.is_empty() {
+                continue;
+            }
+            let gatherer = gatherers.pick(now(), &[&names[data_centre]], &[], Want::Sound);
+            found.extend(gatherer.map(|gatherer| (gatherer, shards)));
+        }
+        found
+    }
+
+    /// Asks a gatherer of another data centre for the parts of some shards.
+    pub(super) fn ask_group(
+        &mut self,
+        gatherer: Arc<Target>,
+        shards: Vec<usize>,
+    ) -> impl Future<Output = FanEvent> + Send + use<> {
+        for &shard in &shards {
+            self.progress.sent(now(), shard);
+            // The gatherer there decides on second copies.
+            self.progress.hedge_refused(shard);
+        }
+        let call = part_call(gatherer, self.route, self.req, &shards, self.rules.is_repeat);
+        async move {
+            let result = async {
+                let mut replies = call.await?;
+                Ok((replies.next().await?, replies))
+            };
+            FanEvent::Group(GroupReply { shards, result: result.await, is_first: true })
+        }
+    }
+
+    /// Takes a reply of a gatherer; returns the copies to send for parts that it will not bring.
+    pub(super) fn take_group(&mut self, group: GroupReply) -> Vec<Next> {
+        match group.result {
+            Ok((reply, replies)) => {
+                let is_last = reply.is_last;
+                let not_asked = reply.not_asked.clone();
+                if !self.take_parts(&group.shards, reply) {
+                    return self.lose_group(group.shards, DelegateError::Broken, false);
+                }
+                if !is_last {
+                    return vec![Next::Replies(Group { shards: group.shards, replies })];
+                }
+                self.leave_unbrought(&group.shards, &not_asked);
+                Vec::new()
+            }
+            Err(error) => self.lose_group(group.shards, error, group.is_first),
+        }
+    }
+
+    /// Gives up the parts that a gatherer did not bring; those that it asked nobody for may
+    /// still be asked from here.
+    pub(super) fn leave_unbrought(&mut self, shards: &[usize], not_asked: &[u32]) {
+        for &shard in shards {
+            if !self.progress.is_done(shard) {
+                self.progress.failed(shard);
+                self.progress.give_up_shard(shard);
+                if not_asked.contains(&(shard as u32)) {
+                    self.left_out.push(shard);
+                }
+            }
+        }
+    }
+
+    /// Asks targets for the parts that a gatherer will not bring.
+    ///
+    /// Which targets it asked is not known, so a shard with more replicas than the route allows
+    /// for one request is not asked again.
+    pub(super) fn lose_group(
+        &mut self,
+        shards: Vec<usize>,
+        error: DelegateError,
+        is_first: bool,
+    ) -> Vec<Next> {
+        log_decision(Code::GathererFailed, self.req.id_text(), &format!("parts: {error}"));
+        let may_have_run = error.may_have_run() || !is_first;
+        self.end.may_have_run |= may_have_run;
+        let mut copies = Vec::new();
+        for shard in shards {
+            if self.progress.is_done(shard) {
+                continue;
+            }
+            self.progress.unsent(shard);
+            let replicas = self.core.targets.load().targets_of(&self.services[shard]).len();
+            if may_have_run && replicas > self.rules.aim.attempts_max {
+                self.progress.give_up_shard(shard);
+            } else {
+                self.arrived[shard] = usize::from(may_have_run);
+                copies.extend(self.next_copy(shard).map(Next::Copy));
+            }
+        }
+        copies
+    }
+
+    /// Takes the parts of a reply; returns whether they are all parts that were asked for.
+    ///
+    /// The records of a reply are merged and cannot be told apart, so a reply with a part that
+    /// is in already, or that nobody asked for, is of no use.
+    pub(super) fn take_parts(&mut self, shards: &[usize], reply: GatherReply) -> bool {
+        let overloaded = reply.overloaded.iter().filter_map(|&at| self.services.get(at as usize));
+        self.core.overloaded_afar(now(), overloaded);
+        self.end.may_have_run |= reply.may_have_run;
+        self.end.extra = self.end.extra.max(reply.extra);
+        let is_wanted = |shard: usize| {
+            shards.binary_search(&shard).is_ok()
+                && self.end.grouped[shard].is_none()
+                && self.end.parts[shard].is_none()
+        };
+        if !reply.receipts.iter().all(|(shard, _)| is_wanted(*shard as usize)) {
+            return false;
+        }
+        if reply.receipts.is_empty() {
+            return true;
+        }
+        for (shard, receipt) in reply.receipts {
+            self.progress.arrived(shard as usize);
+            self.end.grouped[shard as usize] = Some(receipt);
+        }
+        self.end.grouped_records.push(reply.records);
+        true
+    }
+
+    /// Hands parts over that are due, where another gatherer waits for them.
+    pub(super) fn hand_over(&mut self) {
+        if let Some(mut hand_over) = self.end.hand_over.take() {
+            hand_over.hand(now(), &self.end);
+            self.end.hand_over = Some(hand_over);
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/fan/left_out.rs
@@ -0,0 +1,95 @@
+//! Services that are overloaded: which are left out, and which are asked after all.
+
+use std::{sync::Arc, time::Duration};
+
+use egret_policy::{GatherAim, ShardChoice, ShardOutlook, choose_shards, on_time};
+
+use super::{Fan, NextCopy};
+use crate::clock::now;
+
+/// What a part of a shard is expected to take that a gatherer of another data centre left out.
+const OVERLOADED_AFAR: Duration = Duration::from_millis(1000);
+
+/// Parts that a request may lack to wait for room or budget.
+const LACKING_MAX: usize = 3;
+
+/// Which services that were left out are asked after all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Wanted {
+    /// Those that promise a part by the goal.
+    InTime,
+    /// Those that seem to have a free slot.
+    WithRoom,
+}
+
+impl Fan<'_> {
+    /// Leaves out services that are overloaded, where enough others remain.
+    pub(super) fn choose(&mut self) -> Result<(), Duration> {
+        if self.services.len() <= 1 {
+            return Ok(());
+        }
+        let targets = self.core.targets.load();
+        let now = now();
+        let own = &self.core.options.data_centre;
+        let outlook = |service: &Arc<str>| {
+            let is_far = self.rules.may_group && !targets.is_in(service, own);
+            if is_far && self.core.is_overloaded_afar(now, service) {
+                return ShardOutlook { expected: Some(OVERLOADED_AFAR), has_room: false };
+            }
+            targets.outlook(now, service, self.rules.usual)
+        };
+        let outlooks: Vec<ShardOutlook> = self.services.iter().map(outlook).collect();
+        let to_goal = self.rules.aim.goal_at.saturating_duration_since(now);
+        match choose_shards(&outlooks, self.rules.aim.least, to_goal) {
+            ShardChoice::Ask(asked) => {
+                for shard in 0..self.services.len() {
+                    if asked.binary_search(&shard).is_err() {
+                        self.progress.give_up_shard(shard);
+                        self.left_out.push(shard);
+                    }
+                }
+                self.end.overloaded.clone_from(&self.left_out);
+                Ok(())
+            }
+            ShardChoice::Refuse(retry_after) => Err(retry_after),
+        }
+    }
+
+    /// Asks services after all that were left out.
+    pub(super) fn take_up(&mut self, wanted: Wanted) -> Vec<NextCopy> {
+        if self.left_out.is_empty() {
+            return Vec::new();
+        }
+        let now = now();
+        let to_goal = self.rules.aim.goal_at.saturating_duration_since(now);
+        let targets = self.core.targets.load_full();
+        let is_wanted = |shard: &usize| {
+            let outlook = targets.outlook(now, &self.services[*shard], self.rules.usual);
+            match wanted {
+                Wanted::InTime => outlook.expected.is_some_and(|expected| expected <= on_time(to_goal)),
+                Wanted::WithRoom => outlook.has_room,
+            }
+        };
+        let (taken, left): (Vec<usize>, Vec<usize>) =
+            self.left_out.iter().partition(|shard| is_wanted(shard));
+        self.left_out = left;
+        let mut copies = Vec::new();
+        for shard in taken {
+            self.progress.take_up(shard);
+            copies.extend(self.next_copy(shard));
+        }
+        copies
+    }
+
+    /// Tells whether services that were left out could still make the answer complete enough.
+    ///
+    /// A request that lacks more than a few parts would take budget and slots from others
+    /// and hardly ever become complete. After half of the time the caller is told, so that it
+    /// can come back.
+    pub(super) fn may_still_be_enough(&self) -> bool {
+        let lacking = self.rules.aim.least.saturating_sub(self.progress.hopeful());
+        let GatherAim { goal_at, end_at, .. } = self.rules.aim;
+        let until = goal_at + end_at.saturating_duration_since(goal_at) / 2;
+        now() < until && lacking <= self.left_out.len().min(LACKING_MAX)
+    }
+}
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -4,7 +4,7 @@
     io,
     net::SocketAddr,
     sync::Arc,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use derive_more::{Display, Error};
@@ -17,6 +17,7 @@
     Options, Store,
     beliefs::Beliefs,
     caller_connection,
+    clock::now,
     core::Core,
     gather_site,
     gossip::{Gossip, NewsSite},
@@ -154,7 +155,3 @@
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.map_or(0, |since| since.as_millis() as u64)
 }
-
-fn now() -> Instant {
-    tokio::time::Instant::now().into_std()
-}
--- a/crates/front/src/gather_frames.rs
+++ b/crates/front/src/gather_frames.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 
 use crate::{
+    clock::now,
     connection::Connection,
     delegate::DelegateError,
     gather_call::GatherReply,
@@ -76,7 +77,7 @@
 
     /// Keeps the connection once the answer has ended as announced.
     async fn finish(&mut self) {
-        self.running.end(tokio::time::Instant::now().into_std(), egret_policy::ExchangeEnd::Answered);
+        self.running.end(now(), egret_policy::ExchangeEnd::Answered);
         if self.body.frame().await.is_none()
             && let Some(connection) = self.connection.take()
         {
--- a/crates/front/src/gather_site.rs
+++ b/crates/front/src/gather_site.rs
@@ -1,10 +1,6 @@
 //! Gathers for other hosts.
 
-use std::{
-    convert::Infallible,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use egret_routes::{Backend, GatherPlan, Route, RouteTable};
@@ -26,6 +22,7 @@
 
 use crate::{
     caller_request::{CallerRequest, fingerprint_of},
+    clock::now,
     core::Core,
     delegate::GATHER_PATH,
     gather::{run_gather, run_parts},
@@ -150,7 +147,3 @@
     *reply.status_mut() = status;
     reply
 }
-
-fn now() -> Instant {
-    tokio::time::Instant::now().into_std()
-}
--- a/crates/front/src/gossip.rs
+++ b/crates/front/src/gossip.rs
@@ -6,7 +6,7 @@
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use egret_events::{Code, log_decision};
@@ -16,6 +16,7 @@
 
 use crate::{
     beliefs::Beliefs,
+    clock::now,
     core::{Core, lock},
 };
 
@@ -220,7 +221,3 @@
     let doublings = round.min(GOSSIP_INTERVAL.as_millis() as u64 / START_INTERVAL.as_millis() as u64);
     (START_INTERVAL * 2_u32.pow(doublings as u32)).min(GOSSIP_INTERVAL)
 }
-
-fn now() -> Instant {
-    tokio::time::Instant::now().into_std()
-}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -23,6 +23,7 @@
 mod beliefs;
 mod caller_connection;
 mod caller_request;
+mod clock;
 mod connection;
 mod core;
 mod delegate;
--- a/crates/front/src/metrics_site.rs
+++ b/crates/front/src/metrics_site.rs
@@ -4,7 +4,7 @@
 
 use egret_node::{Call, Reply, Site};
 
-use crate::core::Core;
+use crate::{clock::now, core::Core};
 
 /// The path of the counters.
 const METRICS_PATH: &str = "/metrics";
@@ -33,7 +33,7 @@
 impl MetricsSite {
     fn gauges(&self) -> Vec<(&'static str, f64)> {
         let core = &self.core;
-        let now = tokio::time::Instant::now().into_std();
+        let now = now();
         let state = core.targets.load().state(now);
         let version = core.table.load().as_ref().map_or(0, |table| table.version().0);
         vec![
--- a/crates/front/src/reader.rs
+++ b/crates/front/src/reader.rs
@@ -9,6 +9,7 @@
 use egret_routes::RegistryEntry;
 
 use crate::{
+    clock::now,
     core::lock,
     gossip::Gossip,
     lapse_guard::LapseGuard,
@@ -130,7 +131,3 @@
     read.replicas.extend(deletions);
     Ok(read)
 }
-
-fn now() -> Instant {
-    tokio::time::Instant::now().into_std()
-}
--- a/crates/front/src/target.rs
+++ b/crates/front/src/target.rs
@@ -12,7 +12,7 @@
 use egret_routes::Replica;
 use tokio::sync::Notify;
 
-use crate::connection::Connection;
+use crate::{clock::now, connection::Connection};
 
 /// How much slower than usual a target is that just started.
 const COLD_SLOWNESS: f64 = 1.6;
@@ -100,6 +100,6 @@
 
 impl Drop for Running {
     fn drop(&mut self) {
-        self.end(tokio::time::Instant::now().into_std(), ExchangeEnd::Abandoned);
+        self.end(now(), ExchangeEnd::Abandoned);
     }
 }
--- a/crates/front/src/timed_io.rs
+++ b/crates/front/src/timed_io.rs
@@ -13,7 +13,7 @@
     net::TcpStream,
 };
 
-use crate::core::lock;
+use crate::{clock::now, core::lock};
 
 /// What a caller's connection is doing.
 #[derive(Clone, Copy, Debug)]
@@ -46,7 +46,7 @@
     fn bytes_came(&self) {
         let mut activity = lock(&self.0);
         if matches!(*activity, Activity::Idle(_)) {
-            *activity = Activity::Header(tokio::time::Instant::now().into_std());
+            *activity = Activity::Header(now());
         }
     }
 }
