Replace readers that the store turns away at once

Ruled out: held-back deletions (the replica was draining, not deleted), a lost message. Test: readers_that_the_store_turns_away_are_replaced failed first (1.5 s bound).

--- a/crates/front/src/beliefs.rs
+++ b/crates/front/src/beliefs.rs
@@ -67,9 +67,12 @@
 
     /// Returns the hosts that read the store for all.
     ///
-    /// One that is doubted is replaced at once; another reader does no harm.
+    /// One that is doubted, or that the store turns away, is replaced at once; another reader
+    /// does no harm. Where the store answers nobody, the first ones go on trying.
     pub(crate) fn readers(&self) -> Vec<SocketAddr> {
-        readers(self.membership.trusted().map(|member| member.address))
+        let able = self.membership.trusted().filter(|member| member.reads_store);
+        let able = readers(able.map(|member| member.address));
+        if able.is_empty() { readers(self.membership.trusted().map(|member| member.address)) } else { able }
     }
 
     /// Returns the revision up to which everything is known, where anything is.
--- a/crates/front/src/reader.rs
+++ b/crates/front/src/reader.rs
@@ -60,6 +60,13 @@
     has_waited
 }
 
+/// Tells other hosts whether the store answers this one, so that others read in its place.
+fn set_reads_store(gossip: &Gossip, reads_store: bool) {
+    if lock(&gossip.beliefs).membership.set_reads_store(reads_store) {
+        gossip.news.notify_one();
+    }
+}
+
 /// Follows configuration and replicas.
 pub(crate) async fn follow(store: Arc<impl Store>, gossip: Gossip) {
     let mut calls = Calls::default();
@@ -78,6 +85,7 @@
         match read {
             Ok(read) => {
                 calls.succeeded();
+                set_reads_store(&gossip, true);
                 gossip.core.instruments.store_call("answered");
                 guard.succeeded(now());
                 position = Some(read.revision);
@@ -94,6 +102,7 @@
             }
             Err(error) => {
                 guard.failed();
+                set_reads_store(&gossip, false);
                 gossip.core.instruments.store_call("failed");
                 calls.failed(&error).await;
             }
--- a/crates/members/src/member.rs
+++ b/crates/members/src/member.rs
@@ -18,6 +18,8 @@
         pub incarnation: u64,
         /// What is believed of it.
         pub standing: Standing,
+        /// Whether the platform's store answers it, as far as it knows.
+        pub reads_store: bool,
         /// Processor time that it may use, in thousandths of a core.
         pub millicores: u32,
         /// Parts of gathers that it asks targets for, a second; a rough figure.
@@ -34,6 +36,7 @@
             data_centre: data_centre.into(),
             incarnation,
             standing: Standing::Live,
+            reads_store: true,
             millicores: 0,
             parts_per_s: 0,
         }
--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -80,6 +80,16 @@
         self.peers.retain(is_kept);
     }
 
+    /// Tells the others whether the platform's store answers this host; returns whether it is news.
+    pub fn set_reads_store(&mut self, reads_store: bool) -> bool {
+        let is_news = self.own.reads_store != reads_store;
+        if is_news {
+            self.own.reads_store = reads_store;
+            self.own.incarnation += 1;
+        }
+        is_news
+    }
+
     /// Tells the others that this host shuts down.
     pub fn leave(&mut self) {
         self.own.standing = Standing::Gone;
