Let changes cross between data centres once, from hosts that read the store

Change: a host tells three neighbours; a reader also one host of each other data centre. Tests in crates/members failed first (no such choice).

--- a/crates/front/src/gossip.rs
+++ b/crates/front/src/gossip.rs
@@ -29,7 +29,8 @@
 /// The time between the first two rounds while a host knows nothing; doubled with each further
 /// one, up to the usual time.
 const START_INTERVAL: Duration = Duration::from_millis(50);
-/// Peers that are told at once of what traffic goes by; three reach a fleet in a few steps.
+/// Peers of the same data centre that are told at once of what traffic goes by; three reach all
+/// of them in a few steps.
 const PUSH_PEERS: usize = 3;
 /// The least time between two such rounds; changes that come in series go together.
 const PUSH_INTERVAL: Duration = Duration::from_millis(200);
@@ -94,8 +95,7 @@
     pub(crate) async fn push(self) {
         loop {
             self.news.notified().await;
-            let peers = lock(&self.beliefs).membership.draw(now(), PUSH_PEERS);
-            for peer in peers {
+            for peer in self.peers_to_tell() {
                 let gossip = self.clone();
                 tokio::spawn(async move { gossip.exchange(peer, PEER_TIMEOUT).await });
             }
@@ -103,6 +103,12 @@
         }
     }
 
+    fn peers_to_tell(&self) -> Vec<SocketAddr> {
+        let beliefs = lock(&self.beliefs);
+        let is_reader = beliefs.readers().contains(&beliefs.membership.own().address);
+        beliefs.membership.draw_to_tell(now(), PUSH_PEERS, is_reader)
+    }
+
     /// Tells some peers that this host shuts down.
     pub(crate) async fn leave(&self) {
         let peers = {
--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -162,6 +162,26 @@
         fastrand::choose_multiple(live, max)
     }
 
+    /// Draws peers that seem to live whom to tell of a change at once.
+    ///
+    /// At most `near` are of this host's data centre, where bytes cost least. A host that
+    /// learnt the change from the store itself tells one host of each other data centre as well;
+    /// those tell their neighbours.
+    #[must_use]
+    pub fn draw_to_tell(&self, now: Instant, near: usize, is_source: bool) -> Vec<SocketAddr> {
+        let is_near = |member: &&Member| member.data_centre == self.own.data_centre;
+        let neighbours = self.live_peers(now).filter(is_near).map(|member| member.address);
+        let mut drawn = fastrand::choose_multiple(neighbours, near);
+        if is_source || drawn.is_empty() {
+            let mut others: Vec<&Member> = self.live_peers(now).filter(|member| !is_near(member)).collect();
+            fastrand::shuffle(&mut others);
+            others.sort_by(|a, b| a.data_centre.cmp(&b.data_centre));
+            others.dedup_by(|a, b| a.data_centre == b.data_centre);
+            drawn.extend(others.iter().map(|member| member.address));
+        }
+        drawn
+    }
+
     /// Draws a peer that seems lost; it may be back, or behind a partition that is healed.
     #[must_use]
     pub fn draw_lost(&self, now: Instant) -> Option<SocketAddr> {
--- a/crates/members/tests/membership.rs
+++ b/crates/members/tests/membership.rs
@@ -117,3 +117,29 @@
         assert!(rounds < 60, "{} known after {rounds} rounds", newcomer.size());
     }
 }
+
+#[test]
+fn a_change_crosses_between_data_centres_from_its_source_alone() {
+    let start = Instant::now();
+    let mut membership = Membership::new(start, member(1, 1));
+    for last in 2..=30 {
+        let data_centre = ["seeb", "rusayl", "barka"][usize::from(last) % 3];
+        membership.learn(start, &Member::new(member(last, 1).address, data_centre, 1));
+    }
+    let centres = |told: Vec<std::net::SocketAddr>| {
+        let of = |address| membership.live(start).find(|m| m.address == address).unwrap();
+        let mut names: Vec<String> = told.into_iter().map(|at| of(at).data_centre.to_string()).collect();
+        names.sort();
+        names
+    };
+    assert_eq!(centres(membership.draw_to_tell(start, 3, false)), ["seeb", "seeb", "seeb"]);
+    assert_eq!(centres(membership.draw_to_tell(start, 3, true)), ["barka", "rusayl", "seeb", "seeb", "seeb"]);
+}
+
+#[test]
+fn a_host_without_neighbours_tells_other_data_centres() {
+    let start = Instant::now();
+    let mut membership = Membership::new(start, member(1, 1));
+    membership.learn(start, &Member::new(member(2, 1).address, "rusayl", 1));
+    assert_eq!(membership.draw_to_tell(start, 3, false), [member(2, 1).address]);
+}
