Call the store less: ask readers while news are old, and let few try a store that is down

Change: news older than 1.8 s make a host ask a reader out of turn, older than 4 s make it read; at most three times the readers needed are replaced; hosts that are no readers pause longer in a great fleet. Two tests of policy played it; the first fails with the former rule (116 hosts in turn).

--- a/crates/front/src/beliefs.rs
+++ b/crates/front/src/beliefs.rs
@@ -16,7 +16,10 @@
 
 /// Without news of the store for this long, a host reads it itself: a reader's watch confirms
 /// each second, and a host asks a reader each one to two seconds.
-const STORE_AGE_MAX: Duration = Duration::from_millis(3000);
+const STORE_AGE_MAX: Duration = Duration::from_millis(4000);
+/// News of the store older than this make a host ask a reader out of turn, which costs the store
+/// nothing: half of the time that is left before it would have to read.
+const NEWS_OLD_AFTER: Duration = Duration::from_millis(1800);
 /// How long a host that just started waits for others' news before it reads the store. Only
 /// seeds read at once: all others ask them, also where the whole fleet starts.
 const INTRODUCTION: Duration = Duration::from_millis(450);
@@ -62,17 +65,25 @@
             let own = self.membership.own().address;
             return self.core.options.seeds.contains(&own);
         }
-        age > STORE_AGE_MAX || self.readers().contains(&self.membership.own().address)
+        age > STORE_AGE_MAX || self.is_reader()
     }
 
     /// Returns the hosts that read the store for all.
     ///
     /// One that is doubted, or that the store turns away, is replaced at once; another reader
-    /// does no harm. Where the store answers nobody, the first ones go on trying.
+    /// does no harm.
     pub(crate) fn readers(&self) -> Vec<SocketAddr> {
-        let able = self.membership.trusted().filter(|member| member.reads_store);
-        let able = readers(able.map(|member| member.address));
-        if able.is_empty() { readers(self.membership.trusted().map(|member| member.address)) } else { able }
+        readers(self.membership.trusted().map(|member| (member.address, member.reads_store)))
+    }
+
+    /// Tells whether this host is one of those that read the store for all.
+    pub(crate) fn is_reader(&self) -> bool {
+        self.readers().contains(&self.membership.own().address)
+    }
+
+    /// Tells whether this host should soon hear of the store, or else would have to read it.
+    pub(crate) fn is_news_old(&self, now: Instant) -> bool {
+        self.confirmed_at.is_some_and(|at| now.saturating_duration_since(at) > NEWS_OLD_AFTER)
     }
 
     /// Returns the revision up to which everything is known, where anything is.
--- a/crates/front/src/gossip.rs
+++ b/crates/front/src/gossip.rs
@@ -105,8 +105,7 @@
 
     fn peers_to_tell(&self) -> Vec<SocketAddr> {
         let beliefs = lock(&self.beliefs);
-        let is_reader = beliefs.readers().contains(&beliefs.membership.own().address);
-        beliefs.membership.draw_to_tell(now(), PUSH_PEERS, is_reader)
+        beliefs.membership.draw_to_tell(now(), PUSH_PEERS, beliefs.is_reader())
     }
 
     /// Tells some peers that this host shuts down.
@@ -135,18 +134,24 @@
     /// host that reads the store, for the age of its news.
     fn next_peer(&self, round: u64, parts_per_s: u32) -> Option<SocketAddr> {
         let now = now();
-        let (own, drawn, lost, readers) = {
+        let (own, drawn, lost, readers, is_news_old) = {
             let mut beliefs = lock(&self.beliefs);
             beliefs.membership.refresh(now, parts_per_s);
             let membership = &beliefs.membership;
             let drawn = membership.draw(now, 1).pop();
-            (membership.own().address, drawn, membership.draw_lost(now), beliefs.readers())
+            (
+                membership.own().address,
+                drawn,
+                membership.draw_lost(now),
+                beliefs.readers(),
+                beliefs.is_news_old(now),
+            )
         };
         if drawn.is_none() || fastrand::f64() < SEED_SHARE {
             let seed = self.draw_seed();
             return if fastrand::bool() { seed.or(lost) } else { lost.or(seed) }.or(drawn);
         }
-        if round.is_multiple_of(2) && !readers.contains(&own) {
+        if (is_news_old || round.is_multiple_of(2)) && !readers.contains(&own) {
             return fastrand::choice(readers).or(drawn);
         }
         drawn
--- a/crates/front/src/reader.rs
+++ b/crates/front/src/reader.rs
@@ -6,6 +6,7 @@
 };
 
 use egret_events::{Code, log_decision};
+use egret_policy::pause_after_failure;
 use egret_routes::RegistryEntry;
 
 use crate::{
@@ -20,9 +21,6 @@
 const WATCH_WAIT: Duration = Duration::from_millis(1000);
 /// The pause after a watch that brought changes, so that a burst of them is one call.
 const COALESCE: Duration = Duration::from_millis(200);
-/// The pause after a failed call, doubled with each further one.
-const RETRY_FIRST: Duration = Duration::from_millis(200);
-const RETRY_DOUBLINGS_MAX: u32 = 2;
 /// How often a host that is no reader looks whether it has to be one.
 const DUTY_CHECKED_EVERY: Duration = Duration::from_millis(200);
 
@@ -40,11 +38,12 @@
         self.failures = 0;
     }
 
-    async fn failed(&mut self, error: &StoreError) {
+    async fn failed(&mut self, error: &StoreError, gossip: &Gossip) {
         if self.failures == 0 {
             log_decision(Code::PlatformUnreachable, "", &error.to_string());
         }
-        let pause = RETRY_FIRST * 2_u32.pow(self.failures.min(RETRY_DOUBLINGS_MAX));
+        let is_reader = lock(&gossip.beliefs).is_reader();
+        let pause = pause_after_failure(self.failures, gossip.core.known_hosts(), is_reader);
         self.failures += 1;
         tokio::time::sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
     }
@@ -104,7 +103,7 @@
                 guard.failed();
                 set_reads_store(&gossip, false);
                 gossip.core.instruments.store_call("failed");
-                calls.failed(&error).await;
+                calls.failed(&error, &gossip).await;
             }
         }
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -74,7 +74,7 @@
 pub use owner::{CANDIDATES, RelayHost, candidates};
 pub use part_groups::{PartGroup, part_groups};
 pub use pause::PauseDetector;
-pub use reader_duty::{readers, readers_of};
+pub use reader_duty::{pause_after_failure, readers, readers_of};
 pub use relay_health::RelayHealth;
 pub use replica::{CONFIRMED_FOR, Held, Phase, Report};
 pub use retry_budget::{RetryBudget, RetryLimits};
--- a/crates/policy/tests/gathers.rs
+++ b/crates/policy/tests/gathers.rs
@@ -7,7 +7,7 @@
 
 use egret_policy::{
     GatherAim, GatherHost, GatherProgress, GatherStep, PartGroup, ShardChoice, ShardOutlook, choose_shards,
-    gatherers, part_groups, readers, readers_of,
+    gatherers, part_groups, pause_after_failure, readers, readers_of,
 };
 
 fn ms(millis: u64) -> Duration {
@@ -202,9 +202,9 @@
         assert_eq!(readers_of(hosts), expected, "{hosts}");
     }
     let hosts: Vec<SocketAddr> = (1..=20).map(|last| host(last, "seeb", 0, 0).address).collect();
-    let chosen = readers(hosts.iter().copied());
+    let chosen = readers(hosts.iter().map(|host| (*host, true)));
     assert_eq!(chosen.len(), 2);
-    assert_eq!(chosen, readers(hosts.iter().rev().copied()));
+    assert_eq!(chosen, readers(hosts.iter().rev().map(|host| (*host, true))));
 }
 
 #[test]
@@ -225,3 +225,41 @@
     let first = |random| part_groups(&holders, Some(0), random)[0].data_centre;
     assert_eq!((first(0), first(1)), (1, 2));
 }
+
+/// Plays an outage of the store of three seconds over 116 hosts, whose news all grow old.
+#[test]
+fn a_store_that_is_down_is_not_called_by_every_host_in_turn() {
+    let hosts: Vec<SocketAddr> = (1..=116).map(|last| format!("10.0.0.{last}:80").parse().unwrap()).collect();
+    let mut turned_away: Vec<SocketAddr> = Vec::new();
+    for _ in 0..200 {
+        let chosen = readers(hosts.iter().map(|host| (*host, !turned_away.contains(host))));
+        let new: Vec<SocketAddr> = chosen.into_iter().filter(|host| !turned_away.contains(host)).collect();
+        turned_away.extend(new);
+    }
+    assert!(turned_away.len() <= 16, "{} hosts became readers in turn", turned_away.len());
+    let mut calls = 0;
+    for _ in &hosts {
+        let (mut at, mut failures) = (Duration::ZERO, 0);
+        while at < Duration::from_secs(3) {
+            calls += 1;
+            at += pause_after_failure(failures, hosts.len(), false);
+            failures += 1;
+        }
+    }
+    assert!(calls <= 3 * hosts.len(), "{calls} calls of {} hosts", hosts.len());
+}
+
+#[test]
+fn a_store_that_is_closed_to_a_third_of_the_hosts_keeps_readers() {
+    let hosts: Vec<SocketAddr> = (1..=116).map(|last| format!("10.0.0.{last}:80").parse().unwrap()).collect();
+    let is_closed = |host: &SocketAddr| host.ip().to_string().len() % 3 == 0;
+    let mut turned_away: Vec<SocketAddr> = Vec::new();
+    for _ in 0..200 {
+        let chosen = readers(hosts.iter().map(|host| (*host, !turned_away.contains(host))));
+        let is_new = |host: &SocketAddr| is_closed(host) && !turned_away.contains(host);
+        let new: Vec<SocketAddr> = chosen.into_iter().filter(is_new).collect();
+        turned_away.extend(new);
+    }
+    let chosen = readers(hosts.iter().map(|host| (*host, !turned_away.contains(host))));
+    assert!(chosen.len() == 4 && !chosen.iter().any(is_closed), "{chosen:?}");
+}
