--- a/crates/front/src/fan/copies.rs
+++ b/crates/front/src/fan/copies.rs
@@ -58,8 +58,13 @@
         // After the goal, a copy that nobody waits behind still shortens the answer's delay.
         let affordable = left.max(self.rules.usual).div_duration_f64(self.rules.usual);
         let want = Want::Within(affordable);
-        let target = self.core.targets.load().pick(now_at, &[service], &self.tried[shard], want)?;
+        let target = self.core.targets.load().pick(now_at, &[service], &self.tried[shard], want);
+        let Some(target) = target else {
+            self.end.hedges_without_target += 1;
+            return None;
+        };
         if !self.core.spend(now(), service, self.is_gather) {
+            self.end.hedges_without_budget += 1;
             return None;
         }
         self.end.extra += 1;
--- a/crates/front/src/fan_end.rs
+++ b/crates/front/src/fan_end.rs
@@ -36,6 +36,10 @@
     pub(crate) left_out: usize,
     /// How the parts go to a gatherer of another data centre, where they do.
     pub(crate) hand_over: Option<HandOver>,
+    /// Second copies that no target would have answered in time.
+    pub(crate) hedges_without_target: u32,
+    /// Second copies that the budget did not allow.
+    pub(crate) hedges_without_budget: u32,
     /// Services for which no target could be asked.
     pub(crate) without_target: u32,
 }
@@ -66,9 +70,14 @@
         let loss = self.last_loss.map_or_else(|| "none".to_owned(), |cause| cause.to_string());
         let signed = self.failure.as_ref().map_or(0, |answer| answer.status.as_u16());
         format!(
-            "{} overloaded and left out, {} without target, {} extra copies, may have run: {}, \
-             last failure of a target: {signed}, last loss: {loss}",
-            self.left_out, self.without_target, self.extra, self.may_have_run
+            "{} overloaded and left out, {} without target, {} extra copies, {} more without \
+             a target in time, {} more over budget, may have run: {}, last failure of a target: {signed}, last loss: {loss}",
+            self.left_out,
+            self.without_target,
+            self.extra,
+            self.hedges_without_target,
+            self.hedges_without_budget,
+            self.may_have_run
         )
     }
 }
