Let the one host that the store answers read for all

Ruled out: messages between hosts (all knew within 20 ms of the first read). Change: the readers are those that the store answers, however many were turned away.

--- a/crates/front/src/beliefs.rs
+++ b/crates/front/src/beliefs.rs
@@ -16,10 +16,10 @@
 
 /// Without news of the store for this long, a host reads it itself: a reader's watch confirms
 /// each second, and a host asks a reader each one to two seconds.
-const STORE_AGE_MAX: Duration = Duration::from_millis(4000);
+const STORE_AGE_MAX: Duration = Duration::from_millis(3000);
 /// News of the store older than this make a host ask a reader out of turn, which costs the store
 /// nothing: half of the time that is left before it would have to read.
-const NEWS_OLD_AFTER: Duration = Duration::from_millis(1800);
+const NEWS_OLD_AFTER: Duration = Duration::from_millis(1500);
 /// How long a host that just started waits for others' news before it reads the store. Only
 /// seeds read at once: all others ask them, also where the whole fleet starts.
 const INTRODUCTION: Duration = Duration::from_millis(450);
--- a/crates/policy/src/reader_duty.rs
+++ b/crates/policy/src/reader_duty.rs
@@ -6,9 +6,6 @@
 
 /// Hosts that read the store for all, at least: one may be lost or cut off.
 const READERS_MIN: usize = 2;
-/// Readers that the store turned away, as a multiple of those needed, after which it counts as
-/// down for all: trying every host in turn would only add to its load.
-const TURNED_AWAY_FACTOR: usize = 3;
 /// The pause after a failed call, doubled with each further one.
 const RETRY_FIRST: Duration = Duration::from_millis(200);
 const RETRY_DOUBLINGS_MAX: u32 = 2;
@@ -31,8 +28,8 @@
 /// Returns the readers among hosts that nobody doubts, by rendezvous hashing; each comes with
 /// whether the store answers it.
 ///
-/// One that the store turns away is replaced, unless so many were that the store must be down
-/// for all; then the first ones go on trying. Hosts that disagree about who lives only cause
+/// One that the store turns away is replaced, however many were: the one host that the store
+/// answers must read for all. Where it answers nobody, the first ones go on trying. Hosts that disagree about who lives only cause
 /// more reads, or fewer until the age of the news makes every host read for itself.
 #[must_use]
 pub fn readers(hosts: impl IntoIterator<Item = (SocketAddr, bool)>) -> Vec<SocketAddr> {
@@ -41,8 +38,7 @@
     all.sort_by_cached_key(score);
     let needed = readers_of(all.len());
     let able: Vec<SocketAddr> = all.iter().filter(|host| host.1).map(|host| host.0).collect();
-    let is_down_for_all = able.is_empty() || all.len() - able.len() > needed * TURNED_AWAY_FACTOR;
-    let mut chosen = if is_down_for_all { all.into_iter().map(|host| host.0).collect() } else { able };
+    let mut chosen = if able.is_empty() { all.into_iter().map(|host| host.0).collect() } else { able };
     chosen.truncate(needed);
     chosen
 }
