Take targets at their word when they leave or turn requests away

Cause: no code read Server-Leaving or a target's Retry-After. A target that said in its answers that it leaves got work until the store told, and one that wanted nothing for a time got repeats, second copies and parts meanwhile. Ruled out: keeping the word with the connection pool alone; entries lapse while the store is away, and a run that came back was asked again. Change: an answer of any kind, also one of another request, marks its target's run as leaving, for good, in the registry beside the store's entries; messages tell other hosts until the store does. A 503 with Retry-After closes the target for this host; waiting exchanges are turned away, gathers plan without it, and what only closed targets could serve is refused at once, with the time after which enough are open. Hosts come back spread over a quarter of it. Other hosts are not told of a closed target, as the word is for one host.

--- a/crates/front/src/beliefs.rs
+++ b/crates/front/src/beliefs.rs
@@ -10,7 +10,7 @@
 use egret_members::{Member, Membership, News};
 use egret_model::Version;
 use egret_policy::{GatherHost, gatherers, readers};
-use egret_routes::{Registry, RegistryEntry, Replica, RouteTable};
+use egret_routes::{Registry, RegistryEntry, Replica, ReplicaRun, RouteTable};
 
 use crate::core::Core;
 
@@ -27,6 +27,8 @@
 const GATHER_MILLICORES: u32 = 40;
 /// Marks that one message carries.
 const MARKS_MAX: usize = 16;
+/// Runs of leaving replicas that one message carries; the store tells of them soon after.
+const LEAVING_MAX: usize = 64;
 
 /// What this host knows of the fleet; lives on the control thread.
 #[derive(Debug)]
@@ -137,9 +139,24 @@
             marks: self.core.suspects().all_told(now, MARKS_MAX),
             table: None,
             replicas: None,
+            leaving: self.registry.leaving_unlisted().take(LEAVING_MAX).collect(),
         }
     }
 
+    /// Takes the word of replicas' runs that they leave; returns whether any of it is news.
+    pub(crate) fn take_leaving(&mut self, runs: impl IntoIterator<Item = ReplicaRun>) -> bool {
+        let mut is_news = false;
+        for run in runs {
+            let id = Arc::clone(&run.id);
+            if self.registry.leaves(run) {
+                log_decision(Code::ReplicaLeaving, "", &format!("{id}: its answers say so"));
+                is_news = true;
+            }
+        }
+        self.install_replicas(is_news);
+        is_news
+    }
+
     /// Returns the answer to a host's message, with what that host lacks.
     pub(crate) fn answer_to(&mut self, now: Instant, asked: &News) -> News {
         let table = self.table.clone().filter(|table| table.version() > asked.version);
@@ -177,6 +194,7 @@
             self.core.suspects().learn(now, mark);
         }
         let mut changed = news.table.is_some_and(|table| self.take_table(table));
+        changed |= self.take_leaving(news.leaving);
         if let Some(delta) = news.replicas {
             let is_news = self.registry.merge(delta);
             self.install_replicas(is_news);
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -11,7 +11,8 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use egret_events::{Code, log_decision};
 use egret_policy::{RetryBudget, Suspects};
-use egret_routes::{Registry, Replica, Route, RouteTable};
+use egret_routes::{Registry, Replica, ReplicaRun, Route, RouteTable};
+use tokio::sync::Notify;
 
 use crate::{
     Options, caller_request::CallerRequest, clock::now, connection::Connection, instruments::Instruments,
@@ -56,6 +57,9 @@
     overloads: Mutex<Vec<Named<Instant>>>,
     budgets: Mutex<Vec<Named<RetryBudget>>>,
     latencies: Mutex<Vec<Named<RouteLatency>>>,
+    /// Runs of targets that said that they leave, until the control thread takes them.
+    leaving: Mutex<Vec<ReplicaRun>>,
+    has_leaving: Notify,
 }
 
 impl Core {
@@ -76,6 +80,8 @@
             overloads: Mutex::default(),
             budgets: Mutex::default(),
             latencies: Mutex::default(),
+            leaving: Mutex::default(),
+            has_leaving: Notify::new(),
         }
     }
 
@@ -84,7 +90,7 @@
     }
 
     pub(crate) fn set_replicas(&self, registry: &Registry) {
-        let next = self.targets.load().rebuild(registry.usable(), &self.options.data_centre);
+        let next = self.targets.load().rebuild(now(), registry.usable(), &self.options.data_centre);
         self.targets.store(Arc::new(next));
     }
 
@@ -96,7 +102,7 @@
     pub(crate) fn set_gatherers(&self, gatherers: &[Replica]) {
         let own = self.options.gathers;
         let others = gatherers.iter().filter(|gatherer| gatherer.address != own);
-        let next = self.gatherers.load().rebuild(others, &self.options.data_centre);
+        let next = self.gatherers.load().rebuild(now(), others, &self.options.data_centre);
         self.gatherers.store(Arc::new(next));
         self.gatherer_count.store(gatherers.len(), Ordering::Relaxed);
         let is_gatherer = gatherers.iter().any(|gatherer| gatherer.address == own);
@@ -218,6 +224,21 @@
         act(named(&mut lock(&self.latencies), &route.name, || RouteLatency::new(route)))
     }
 
+    /// Takes a target's word that it leaves: it gets no more work, here at once and soon elsewhere.
+    pub(crate) fn target_leaves(&self, target: &Target) {
+        if !target.is_retired() {
+            target.retire();
+            lock(&self.leaving).push(ReplicaRun::from(&target.replica));
+            self.has_leaving.notify_one();
+        }
+    }
+
+    /// Waits until targets said that they leave, and returns their runs.
+    pub(crate) async fn leaving_targets(&self) -> Vec<ReplicaRun> {
+        self.has_leaving.notified().await;
+        std::mem::take(&mut *lock(&self.leaving))
+    }
+
     /// Checks whether a request that lost its connection crashed its target.
     pub(crate) fn suspect(self: &Arc<Self>, target: Arc<Target>, req: &CallerRequest) {
         let core = Arc::clone(self);
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -19,6 +19,7 @@
     clock::now,
     connection::Connection,
     core::Core,
+    retry_after::retry_after,
     target::{Running, Target},
     target_answer::{ExchangeResult, LossCause, TargetAnswer},
 };
@@ -83,7 +84,8 @@
     terms: ExchangeTerms,
 ) -> ExchangeResult {
     loop {
-        let Some(mut connection) = connect(core, target, terms).await else {
+        let connection = connect(core, target, terms).await;
+        let Some(mut connection) = connection.filter(|_| target.is_open(now())) else {
             return ExchangeResult::NotSent;
         };
         let message = message(core, target, req, terms.end_at);
@@ -103,6 +105,9 @@
 
 async fn connect(core: &Arc<Core>, target: &Arc<Target>, terms: ExchangeTerms) -> Option<Connection> {
     loop {
+        if !target.is_open(now()) {
+            return None;
+        }
         if !terms.fresh
             && let Some(connection) = Connection::reuse(target).await
         {
@@ -147,6 +152,7 @@
 ) -> ExchangeResult {
     let names = &core.options.headers;
     let (head, body) = res.into_parts();
+    take_signs(core, target, head.status, &head.headers);
     if head.headers.get(&names.request_id).is_some_and(|id| *id != req.id) {
         return ExchangeResult::Lost(LossCause::Foreign);
     }
@@ -176,6 +182,19 @@
     if answer.status.is_success() { ExchangeResult::Success(answer) } else { ExchangeResult::Failure(answer) }
 }
 
+/// Takes what an answer says of its target, whichever request it belongs to.
+fn take_signs(core: &Core, target: &Target, status: StatusCode, headers: &hyper::HeaderMap) {
+    let names = &core.options.headers;
+    if headers.get_all(&names.leaving).iter().any(|value| value.as_bytes().trim_ascii() == b"1") {
+        core.target_leaves(target);
+    }
+    if status == StatusCode::SERVICE_UNAVAILABLE
+        && let Some(wanted) = retry_after(headers)
+    {
+        target.close(now(), wanted);
+    }
+}
+
 fn take_load(core: &Core, target: &Target, headers: &hyper::HeaderMap) {
     let load = headers.get(&core.options.headers.load).and_then(|value| value.to_str().ok());
     let mut numbers =
--- a/crates/front/src/fan/left_out.rs
+++ b/crates/front/src/fan/left_out.rs
@@ -34,7 +34,11 @@
         let outlook = |service: &Arc<str>| {
             let is_far = self.rules.may_group && !targets.is_in(service, own);
             if is_far && self.core.is_overloaded_afar(now, service) {
-                return ShardOutlook { expected: Some(OVERLOADED_AFAR), has_room: false };
+                return ShardOutlook {
+                    expected: Some(OVERLOADED_AFAR),
+                    has_room: false,
+                    closed_for: Duration::ZERO,
+                };
             }
             targets.outlook(now, service, self.rules.usual)
         };
@@ -65,6 +69,9 @@
         let targets = self.core.targets.load_full();
         let is_wanted = |shard: &usize| {
             let outlook = targets.outlook(now, &self.services[*shard], self.rules.usual);
+            if !outlook.closed_for.is_zero() {
+                return false;
+            }
             match wanted {
                 Wanted::InTime => outlook.expected.is_some_and(|expected| expected <= on_time(to_goal)),
                 Wanted::WithRoom => outlook.has_room,
@@ -90,6 +97,10 @@
         let lacking = self.rules.aim.least.saturating_sub(self.progress.hopeful());
         let GatherAim { goal_at, end_at, .. } = self.rules.aim;
         let until = goal_at + end_at.saturating_duration_since(goal_at) / 2;
-        now() < until && lacking <= self.left_out.len().min(LACKING_MAX)
+        let now = now();
+        let targets = self.core.targets.load();
+        let opens = |shard: &&usize| now + targets.closed_for(now, &self.services[**shard]) < until;
+        let possible = self.left_out.iter().filter(opens).count();
+        now < until && lacking <= possible.min(LACKING_MAX)
     }
 }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -104,6 +104,7 @@
         let tasks = vec![
             tokio::spawn(gossip.clone().run()),
             tokio::spawn(gossip.clone().push()),
+            tokio::spawn(gossip.clone().take_leaving_targets()),
             tokio::spawn(reader::follow(Arc::new(store), gossip.clone())),
         ];
         log_decision(Code::Started, "", &format!("{} listens on {address}", options.host));
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -42,7 +42,7 @@
         return reply::refused(StatusCode::SERVICE_UNAVAILABLE, reason, Some(secs));
     }
     if !outcome.is_enough {
-        return no_answer(req, route, outcome.may_have_run);
+        return no_answer(req, route, outcome.may_have_run, None);
     }
     core.instruments.gather_end(plan.shards.len().saturating_sub(outcome.receipts.len()), outcome.extra);
     let receipts: Vec<HeaderValue> =
--- a/crates/front/src/gossip.rs
+++ b/crates/front/src/gossip.rs
@@ -103,6 +103,16 @@
         }
     }
 
+    /// Takes up what targets say in their answers of leaving, and tells others.
+    pub(crate) async fn take_leaving_targets(self) {
+        loop {
+            let runs = self.core.leaving_targets().await;
+            if lock(&self.beliefs).take_leaving(runs) {
+                self.news.notify_one();
+            }
+        }
+    }
+
     fn peers_to_tell(&self) -> Vec<SocketAddr> {
         let beliefs = lock(&self.beliefs);
         beliefs.membership.draw_to_tell(now(), PUSH_PEERS, beliefs.is_reader())
@@ -214,13 +224,16 @@
             return Reply::text(400, "the message cannot be read: check the sender's version\n");
         };
         let sender = news.members.first().map(|member| member.address);
-        let (answer, is_behind) = {
+        let (answer, is_behind, is_news) = {
             let mut beliefs = lock(&self.0.beliefs);
             let answer = beliefs.answer_to(now(), &news);
             let is_behind = beliefs.is_behind(&news);
-            beliefs.take_news(now(), news);
-            (answer, is_behind)
+            let is_news = beliefs.take_news(now(), news);
+            (answer, is_behind, is_news)
         };
+        if is_news {
+            self.0.news.notify_one();
+        }
         if let Some(sender) = sender.filter(|_| is_behind) {
             self.0.catch_up(sender);
         }
--- a/crates/front/src/header_names.rs
+++ b/crates/front/src/header_names.rs
@@ -15,6 +15,8 @@
     pub expected_target: HeaderName,
     /// A target's running requests, waiting requests and slots.
     pub load: HeaderName,
+    /// Says that the target leaves.
+    pub leaving: HeaderName,
     /// Says that a target did not run the request.
     pub not_run: HeaderName,
     /// The receipts of the parts of an answer.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -47,6 +47,7 @@
 mod reader;
 mod ready;
 mod reply;
+mod retry_after;
 mod route_latency;
 mod store;
 mod target;
--- a/crates/front/src/target.rs
+++ b/crates/front/src/target.rs
@@ -5,7 +5,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use egret_policy::{ExchangeEnd, TargetLoad};
@@ -51,10 +51,27 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Closes idle connections; no new work may come.
+    /// Closes idle connections and turns waiting exchanges away; no new work may come.
     pub(crate) fn retire(&self) {
         self.retired.store(true, Ordering::SeqCst);
         self.state().idle.clear();
+        self.freed.notify_waiters();
+    }
+
+    /// Keeps new and waiting work away for as long as the target wants none.
+    pub(crate) fn close(&self, now: Instant, wanted: Duration) {
+        self.state().load.close(now, wanted, fastrand::f64());
+        self.freed.notify_waiters();
+    }
+
+    /// Returns how much longer the target wants nothing; zero where it takes work.
+    pub(crate) fn closed_for(&self, now: Instant) -> Duration {
+        self.state().load.closed_for(now)
+    }
+
+    /// Tells whether new work may go to the target.
+    pub(crate) fn is_open(&self, now: Instant) -> bool {
+        !self.is_retired() && self.closed_for(now).is_zero()
     }
 
     pub(crate) fn is_retired(&self) -> bool {
@@ -85,7 +102,7 @@
 }
 
 impl Running {
-    pub(crate) fn begin(target: Arc<Target>, now: Instant, usual: std::time::Duration) -> Self {
+    pub(crate) fn begin(target: Arc<Target>, now: Instant, usual: Duration) -> Self {
         target.state().load.begin(now, usual);
         Self { target, began: now, ended: false }
     }
--- a/crates/front/src/target_set.rs
+++ b/crates/front/src/target_set.rs
@@ -48,16 +48,28 @@
 #[derive(Debug, Default)]
 pub(crate) struct TargetSet {
     groups: Vec<Group>,
+    /// Targets that were removed while they wanted nothing. Entries may lapse while the store is
+    /// away; a run that comes back is still closed.
+    removed_closed: Vec<Arc<Target>>,
 }
 
 impl TargetSet {
     /// Builds the set for the usable replicas; targets that stay keep their state.
-    pub(crate) fn rebuild<'a>(&self, replicas: impl Iterator<Item = &'a Replica>, data_centre: &str) -> Self {
+    pub(crate) fn rebuild<'a>(
+        &self,
+        now: Instant,
+        replicas: impl Iterator<Item = &'a Replica>,
+        data_centre: &str,
+    ) -> Self {
         let mut next = Self::default();
         for replica in replicas {
             let known = self.targets_of(&replica.service).iter().find(|target| target.is_same(replica));
             let target = known.cloned().unwrap_or_else(|| {
-                Arc::new(Target::new(replica.clone(), *replica.data_centre == *data_centre))
+                let target = Target::new(replica.clone(), *replica.data_centre == *data_centre);
+                if let Some(earlier) = self.removed_closed.iter().find(|earlier| earlier.is_same(replica)) {
+                    target.state().load.close_like(&earlier.state().load);
+                }
+                Arc::new(target)
             });
             next.add(target);
         }
@@ -67,6 +79,10 @@
                 target.retire();
             }
         }
+        let removed =
+            self.groups.iter().flat_map(|group| &group.targets).filter(|target| target.is_retired());
+        let closed = removed.chain(&self.removed_closed).filter(|target| !target.closed_for(now).is_zero());
+        next.removed_closed = closed.cloned().collect();
         next
     }
 
@@ -131,15 +147,22 @@
     /// Returns what a request may expect of a service's best target.
     pub(crate) fn outlook(&self, now: Instant, service: &str, usual: Duration) -> ShardOutlook {
         let targets = self.targets_of(service);
-        let usable = targets.iter().filter(|target| !target.is_avoided(now));
-        let costs = usable.map(|target| target.cost(now));
+        let usable = || targets.iter().filter(|target| target.is_open(now) && !target.is_avoided(now));
+        let costs = usable().map(|target| target.cost(now));
         let least = costs.min_by(f64::total_cmp).or((!targets.is_empty()).then_some(AVOIDED_COST));
         ShardOutlook {
             expected: least.map(|cost| usual.mul_f64(cost)),
-            has_room: targets.iter().any(|target| !target.is_avoided(now) && target.has_room(now)),
+            has_room: usable().any(|target| target.has_room(now)),
+            closed_for: self.closed_for(now, service),
         }
     }
 
+    /// Returns how long it takes until a target of a service wants work; zero where one does.
+    pub(crate) fn closed_for(&self, now: Instant, service: &str) -> Duration {
+        let targets = self.targets_of(service).iter().filter(|target| !target.is_retired());
+        targets.map(|target| target.closed_for(now)).min().unwrap_or(Duration::ZERO)
+    }
+
     /// Returns the best target of some services that was not tried yet.
     pub(crate) fn pick(
         &self,
@@ -149,7 +172,7 @@
         want: Want,
     ) -> Option<Arc<Target>> {
         let all = services.iter().flat_map(|service| self.targets_of(service));
-        let untried = all.filter(|target| !tried.contains(&target.replica.id));
+        let untried = all.filter(|target| target.is_open(now) && !tried.contains(&target.replica.id));
         let rank = |target: &Arc<Target>| {
             let distance = if target.is_local { 1.0 } else { REMOTE_FACTOR };
             let jitter = 1.0 + JITTER * fastrand::f64();
--- a/crates/members/src/news.rs
+++ b/crates/members/src/news.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use egret_model::{Mark, Version, record};
-use egret_routes::{RegistryDelta, RouteTable};
+use egret_routes::{RegistryDelta, ReplicaRun, RouteTable};
 
 use crate::Member;
 
@@ -32,5 +32,9 @@
         pub table: Option<Arc<RouteTable>>,
         /// Changes of replicas that the receiver lacks.
         pub replicas: Option<RegistryDelta>,
+        /// Runs of replicas that say in their answers that they leave, of which the store does
+        /// not say so yet.
+        #[serde(default)]
+        pub leaving: Vec<ReplicaRun>,
     }
 }
--- a/crates/policy/src/shard_choice.rs
+++ b/crates/policy/src/shard_choice.rs
@@ -9,6 +9,8 @@
     pub expected: Option<Duration>,
     /// Whether a slot seems free, so that the part would delay nobody.
     pub has_room: bool,
+    /// How much longer all replicas want nothing; zero where one takes work.
+    pub closed_for: Duration,
 }
 
 /// What a gather does at its start.
@@ -42,7 +44,8 @@
 #[must_use]
 pub fn choose_shards(outlooks: &[ShardOutlook], least: usize, to_goal: Duration) -> ShardChoice {
     let on_time = on_time(to_goal);
-    let mut order: Vec<usize> = (0..outlooks.len()).filter(|&at| outlooks[at].expected.is_some()).collect();
+    let is_open = |at: &usize| outlooks[*at].expected.is_some() && outlooks[*at].closed_for.is_zero();
+    let mut order: Vec<usize> = (0..outlooks.len()).filter(is_open).collect();
     order.sort_by_key(|&at| outlooks[at].expected);
     let in_time = order.iter().filter(|&&at| outlooks[at].expected <= Some(on_time)).count();
     if in_time >= least {
@@ -65,6 +68,21 @@
         asked.sort_unstable();
         return ShardChoice::Ask(asked);
     }
+    let lacking = least.saturating_sub(needed.len());
+    if lacking > 0 {
+        return ShardChoice::Refuse(opens_after(outlooks, lacking));
+    }
     let worst = late.iter().filter_map(|&at| outlooks[at].expected).max().unwrap_or(COME_BACK_MAX);
     ShardChoice::Refuse(worst.clamp(COME_BACK_MIN, COME_BACK_MAX))
 }
+
+/// Returns how long it takes until so many closed shards are open.
+fn opens_after(outlooks: &[ShardOutlook], lacking: usize) -> Duration {
+    let mut closed: Vec<Duration> = outlooks
+        .iter()
+        .map(|outlook| outlook.closed_for)
+        .filter(|closed_for| !closed_for.is_zero())
+        .collect();
+    closed.sort_unstable();
+    closed.get(lacking - 1).copied().unwrap_or(COME_BACK_MAX).max(COME_BACK_MIN)
+}
--- a/crates/policy/src/target_load.rs
+++ b/crates/policy/src/target_load.rs
@@ -36,6 +36,14 @@
 const SHED_QUEUE: f64 = 6.0;
 /// How long a target without room is avoided.
 const SHED_AVOID: Duration = Duration::from_millis(40);
+/// The longest time for which a target's own word keeps work away from it.
+const CLOSED_MAX: Duration = Duration::from_secs(300);
+/// Hosts come back to a target that was closed at different times within this share of its time.
+const REOPEN_SPREAD: f64 = 0.25;
+/// A target that opens again costs so much more at first, so that its work grows gradually.
+const REOPEN_COST: f64 = 3.0;
+/// After this time an opened target costs as much as any other.
+const REOPEN_LASTS: Duration = Duration::from_secs(1);
 
 #[derive(Clone, Copy, Debug)]
 struct Begun {
@@ -61,6 +69,7 @@
     failures: u32,
     avoidances: u32,
     avoid_until: Option<Instant>,
+    closed_until: Option<Instant>,
 }
 
 impl TargetLoad {
@@ -77,6 +86,7 @@
             failures: 0,
             avoidances: 0,
             avoid_until: None,
+            closed_until: None,
         }
     }
 
@@ -121,6 +131,27 @@
         self.reported_at = Some(now);
     }
 
+    /// Takes the target's word that it wants nothing from this host for so long.
+    ///
+    /// A later, shorter word shortens nothing. `random`, from 0 to 1, spreads the time at which
+    /// hosts come back.
+    pub fn close(&mut self, now: Instant, wanted: Duration, random: f64) {
+        let wanted = wanted.min(CLOSED_MAX);
+        let until = now + wanted + wanted.mul_f64(REOPEN_SPREAD * random);
+        self.closed_until = self.closed_until.max(Some(until));
+    }
+
+    /// Returns how much longer the target wants nothing from this host; zero where it takes work.
+    #[must_use]
+    pub fn closed_for(&self, now: Instant) -> Duration {
+        self.closed_until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
+    /// Takes over how long an earlier record of the same run is closed.
+    pub fn close_like(&mut self, earlier: &Self) {
+        self.closed_until = self.closed_until.max(earlier.closed_until);
+    }
+
     /// Returns the exchanges that have begun and not ended.
     #[must_use]
     pub fn in_flight(&self) -> usize {
@@ -130,7 +161,13 @@
     /// Returns how long one more request is likely to take, in usual latencies.
     #[must_use]
     pub fn cost(&self, now: Instant) -> f64 {
-        self.slowness_at(now) * self.queue_factor(now)
+        self.slowness_at(now) * self.queue_factor(now) * self.reopen_factor(now)
+    }
+
+    fn reopen_factor(&self, now: Instant) -> f64 {
+        let Some(opened_at) = self.closed_until else { return 1.0 };
+        let open_for = now.saturating_duration_since(opened_at).min(REOPEN_LASTS);
+        1.0 + REOPEN_COST * (1.0 - open_for.div_duration_f64(REOPEN_LASTS))
     }
 
     /// Tells whether a slot seems free.
--- a/crates/policy/tests/gathers.rs
+++ b/crates/policy/tests/gathers.rs
@@ -84,7 +84,7 @@
 }
 
 fn outlook(expected_ms: u64, has_room: bool) -> ShardOutlook {
-    ShardOutlook { expected: Some(ms(expected_ms)), has_room }
+    ShardOutlook { expected: Some(ms(expected_ms)), has_room, closed_for: Duration::ZERO }
 }
 
 #[test]
@@ -269,3 +269,19 @@
         }
     }
 }
+
+fn closed(for_ms: u64) -> ShardOutlook {
+    ShardOutlook { closed_for: ms(for_ms), ..outlook(10, false) }
+}
+
+#[test]
+fn shards_whose_replicas_want_nothing_are_left_out() {
+    let outlooks = [outlook(20, true), closed(900), outlook(20, true)];
+    assert_eq!(choose_shards(&outlooks, 2, ms(150)), ShardChoice::Ask(vec![0, 2]));
+}
+
+#[test]
+fn a_query_that_needs_closed_shards_comes_back_when_enough_are_open() {
+    let outlooks = [outlook(20, true), closed(4000), closed(2500), closed(3000)];
+    assert_eq!(choose_shards(&outlooks, 3, ms(150)), ShardChoice::Refuse(ms(3000)));
+}
--- a/crates/policy/tests/targets.rs
+++ b/crates/policy/tests/targets.rs
@@ -100,3 +100,36 @@
     assert_eq!(weighted_draw([0.0, 0.0], 0.5), None);
     assert_eq!(weighted_draw([], 0.5), None);
 }
+
+#[test]
+fn a_closed_target_opens_once_its_longest_word_has_passed() {
+    let start = Instant::now();
+    let mut load = TargetLoad::new(2);
+    load.close(start, ms(2000), 0.0);
+    load.close(start + ms(100), ms(300), 0.0);
+    assert_eq!(load.closed_for(start + ms(500)), ms(1500));
+    assert_eq!(load.closed_for(start + ms(2000)), Duration::ZERO);
+}
+
+/// Many hosts that were turned away at one moment must not all be back at one moment.
+#[test]
+fn hosts_come_back_one_after_the_other_and_gradually() {
+    let start = Instant::now();
+    let opens = |random: f64| {
+        let mut load = TargetLoad::new(2);
+        load.close(start, ms(2000), random);
+        (load.closed_for(start), load)
+    };
+    assert_eq!(opens(1.0).0 - opens(0.0).0, ms(500));
+    let load = opens(0.0).1;
+    let cost = |after_ms: u64| load.cost(start + ms(2000 + after_ms));
+    assert!(cost(0) > 3.0 && cost(500) > 2.0 && cost(1000) < 1.1, "{} {} {}", cost(0), cost(500), cost(1000));
+}
+
+#[test]
+fn an_absurd_word_closes_a_target_for_minutes_only() {
+    let start = Instant::now();
+    let mut load = TargetLoad::new(2);
+    load.close(start, Duration::MAX, 1.0);
+    assert!(load.closed_for(start) < Duration::from_secs(600));
+}
--- a/crates/routes/src/registry.rs
+++ b/crates/routes/src/registry.rs
@@ -1,6 +1,6 @@
 //! All replicas, with the store's revisions.
 
-use crate::{RegistryDelta, RegistryEntry, Replica};
+use crate::{RegistryDelta, RegistryEntry, Replica, ReplicaRun, leaving_runs::LeavingRuns};
 
 /// What a host knows of the replicas' own entries in the store.
 ///
@@ -15,6 +15,8 @@
     changed: u64,
     /// The greatest revision of a tombstone that was dropped.
     pruned: u64,
+    /// Runs that said in their answers that they leave; the store may not know it yet.
+    leaving: LeavingRuns,
 }
 
 /// Entries that are gone and still remembered, at most.
@@ -40,7 +42,23 @@
 
     /// Returns the replicas that may get new work.
     pub fn usable(&self) -> impl Iterator<Item = &Replica> {
-        self.entries.iter().filter_map(RegistryEntry::usable)
+        let entries = self.entries.iter().filter_map(RegistryEntry::usable);
+        entries.filter(|replica| !self.leaving.contains(replica))
+    }
+
+    /// Notes that a run said in an answer that it leaves; returns whether that is news.
+    pub fn leaves(&mut self, run: ReplicaRun) -> bool {
+        let is_news = self.leaving.add(run);
+        let entries = &self.entries;
+        let is_listed = |run: &ReplicaRun| entries.iter().any(|entry| entry.id == run.id && !entry.gone);
+        self.leaving.limit(is_listed);
+        is_news
+    }
+
+    /// Returns runs that leave while the store lists them as usable: other hosts need to be told.
+    pub fn leaving_unlisted(&self) -> impl Iterator<Item = ReplicaRun> {
+        let entries = self.entries.iter().filter_map(RegistryEntry::usable);
+        entries.filter(|replica| self.leaving.contains(replica)).map(ReplicaRun::from)
     }
 
     /// Returns the entries that are not gone.
--- a/crates/routes/tests/registry.rs
+++ b/crates/routes/tests/registry.rs
@@ -1,6 +1,6 @@
 //! Registries that hear of replicas in any order.
 
-use egret_routes::{Registry, RegistryEntry, Replica};
+use egret_routes::{Registry, RegistryEntry, Replica, ReplicaRun};
 
 fn replica(id: &str, born_ms: u64, report: u64, draining: bool) -> Replica {
     Replica {
@@ -109,3 +109,31 @@
     behind.merge(delta);
     assert_eq!((behind.usable().count(), behind.synced()), (20, 21));
 }
+
+fn run(id: &str, born_ms: u64) -> ReplicaRun {
+    ReplicaRun { id: id.into(), born_ms }
+}
+
+#[test]
+fn a_run_that_says_that_it_leaves_never_takes_work_again() {
+    let mut registry = Registry::default();
+    registry.apply(entry("a", 7, replica("a", 1, 5, false)));
+    assert!(registry.leaves(run("a", 1)));
+    assert!(!registry.leaves(run("a", 1)), "no news");
+    assert_eq!(registry.leaving_unlisted().collect::<Vec<_>>(), [run("a", 1)]);
+    registry.apply(gone("a", 8));
+    registry.apply(entry("a", 9, replica("a", 1, 6, false)));
+    assert_eq!(registry.usable().count(), 0);
+    registry.apply(entry("a", 10, replica("a", 2, 0, false)));
+    assert_eq!(registry.usable().count(), 1, "a new run under the identifier");
+    assert!(!registry.leaves(run("a", 1)), "an earlier run says nothing of it");
+    assert_eq!((registry.usable().count(), registry.leaving_unlisted().count()), (1, 0));
+}
+
+#[test]
+fn a_run_may_say_that_it_leaves_before_the_store_tells_of_it() {
+    let mut registry = Registry::default();
+    assert!(registry.leaves(run("a", 3)));
+    registry.apply(entry("a", 7, replica("a", 3, 5, false)));
+    assert_eq!(registry.usable().count(), 0);
+}
