Learn how long a host needs to pass an answer on, first form

Cause: half of the large site's late answers miss the goal by 1 to 3 ms; the margin for the caller's way was one constant of 14 ms for all hosts. Hypothesis: a host's own time to pass an answer on, learned at the 0.9 quantile, with two ways on an open connection and four on a new one, serves all.

--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -1,6 +1,9 @@
 //! From a caller's request to its answer.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use egret_events::{Code, log_decision};
 use egret_policy::{GatherAim, weighted_draw};
@@ -21,8 +24,6 @@
     reply::{self, CallerReply},
 };
 
-/// What an answer needs to reach its caller: both ways, a new connection, and a busy host.
-const CALLER_MARGIN: Duration = Duration::from_millis(14);
 /// What a final failure needs to reach its caller before it stops to wait, over a busy host.
 const END_MARGIN: Duration = Duration::from_millis(25);
 /// When a caller may come back that was refused for lack of targets, in seconds.
@@ -32,8 +33,8 @@
 /// When a caller may come back with a request that crashed targets, in seconds.
 const RETRY_SUSPECT: f64 = 30.0;
 
-/// Answers a caller's request.
-pub(crate) async fn answer(core: Arc<Core>, req: Request<Incoming>) -> CallerReply {
+/// Answers a caller's request; `is_on_new` tells that it is the first one of its connection.
+pub(crate) async fn answer(core: Arc<Core>, req: Request<Incoming>, is_on_new: bool) -> CallerReply {
     let arrived_at = now();
     // Of a length and chunks together the library drops the length. What follows may have been
     // meant as a part of the body, so nothing more is read from such a connection.
@@ -45,7 +46,8 @@
             Some(RETRY_NO_TABLE),
         ),
         Some(table) => {
-            match CallerRequest::take(req, &core.options.headers, table.limits(), arrived_at).await {
+            match CallerRequest::take(req, &core.options.headers, table.limits(), arrived_at, is_on_new).await
+            {
                 Ok(req) => route(&core, &table, Arc::new(req)).await,
                 Err(error) => {
                     log_intake(error);
@@ -102,13 +104,19 @@
     reply::refused(StatusCode::SERVICE_UNAVAILABLE, reason, Some(RETRY_NO_TARGET))
 }
 
-pub(crate) fn fan_rules(core: &Core, route: &Route, req: &CallerRequest, least: usize) -> FanRules {
+/// Returns what a fan may do for a request whose answer has to be made at `goal_at`.
+pub(crate) fn fan_rules(
+    core: &Core,
+    route: &Route,
+    req: &CallerRequest,
+    least: usize,
+    goal_at: Instant,
+) -> FanRules {
     let allowed = req.deadline.saturating_sub(END_MARGIN).min(Duration::from_millis(route.timeout_ms));
-    let goal = Duration::from_millis(route.goal_ms).saturating_sub(CALLER_MARGIN);
     let (usual, hedge_after) = core.with_latency(route, |latency| (latency.usual(), latency.hedge_after()));
     let aim = GatherAim {
         least,
-        goal_at: req.arrived_at + goal,
+        goal_at,
         end_at: req.arrived_at + allowed,
         hedge_after: route.idempotent.then_some(hedge_after),
         attempts_max: route.attempts_max.max(1) as usize,
@@ -122,7 +130,7 @@
     service: &Arc<str>,
     req: &Arc<CallerRequest>,
 ) -> CallerReply {
-    let rules = fan_rules(core, route, req, 1);
+    let rules = fan_rules(core, route, req, 1, core.answer_at(route, req));
     let mut end = fan(core, req, route, std::slice::from_ref(service), rules, None).await;
     if let Some(answer) = end.parts[0].take() {
         return reply::relayed(answer, &core.options.headers);
--- a/crates/front/src/caller_connection.rs
+++ b/crates/front/src/caller_connection.rs
@@ -2,7 +2,10 @@
 
 use std::{
     convert::Infallible,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -15,6 +18,7 @@
     answer::answer,
     clock::now,
     core::Core,
+    reply::DueAt,
     timed_io::{Activity, ActivityCell, TimedIo},
 };
 
@@ -27,15 +31,18 @@
 pub(crate) async fn serve(core: Arc<Core>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
     let limits = core.table.load().as_ref().map_or_else(CallerLimits::default, |table| table.limits());
     let activity = ActivityCell::idle_since(now());
-    let io = TokioIo::new(TimedIo { stream, activity: activity.clone() });
+    let io = TokioIo::new(TimedIo { stream, activity: activity.clone(), core: Arc::clone(&core) });
     let shared = activity.clone();
+    let is_on_new = AtomicBool::new(true);
     let service = service_fn(move |req| {
+        let is_on_new = is_on_new.swap(false, Ordering::Relaxed);
         let core = Arc::clone(&core);
         let activity = shared.clone();
         async move {
             activity.set(Activity::Busy);
-            let reply = answer(core, req).await;
-            activity.set(Activity::Idle(now()));
+            let mut reply = answer(core, req, is_on_new).await;
+            let due_at = reply.extensions_mut().remove::<DueAt>().map(|DueAt(due_at)| due_at);
+            activity.answered(due_at);
             Ok::<_, Infallible>(reply)
         }
     });
--- a/crates/front/src/caller_request.rs
+++ b/crates/front/src/caller_request.rs
@@ -35,6 +35,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) arrived_at: Instant,
+    /// Whether the caller opened its connection for this request.
+    pub(crate) is_on_new: bool,
     pub(crate) deadline: Duration,
     pub(crate) fingerprint: Fingerprint,
 }
@@ -63,6 +65,7 @@
         names: &HeaderNames,
         limits: CallerLimits,
         arrived_at: Instant,
+        is_on_new: bool,
     ) -> Result<Self, IntakeError> {
         let (head, body) = req.into_parts();
         let id = head.headers.get(&names.request_id).cloned().ok_or(IntakeError::NoId)?;
@@ -85,7 +88,18 @@
         remove_hop_by_hop(&mut headers);
         let uri = origin_form(head.uri);
         let fingerprint = fingerprint_of(&uri, &body);
-        Ok(Self { id, method: head.method, uri, host, headers, body, arrived_at, deadline, fingerprint })
+        Ok(Self {
+            id,
+            method: head.method,
+            uri,
+            host,
+            headers,
+            body,
+            arrived_at,
+            is_on_new,
+            deadline,
+            fingerprint,
+        })
     }
 
     /// Logs a decision that touches this request.
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -10,7 +10,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use egret_events::{Code, log_decision};
-use egret_policy::{RetryBudget, Suspects};
+use egret_policy::{RetryBudget, ReturnPath, Suspects};
 use egret_routes::{Registry, Replica, ReplicaRun, Route, RouteTable};
 use tokio::sync::Notify;
 
@@ -57,6 +57,7 @@
     overloads: Mutex<Vec<Named<Instant>>>,
     budgets: Mutex<Vec<Named<RetryBudget>>>,
     latencies: Mutex<Vec<Named<RouteLatency>>>,
+    return_path: Mutex<ReturnPath>,
     /// Runs of targets that said that they leave, until the control thread takes them.
     leaving: Mutex<Vec<ReplicaRun>>,
     has_leaving: Notify,
@@ -65,6 +66,7 @@
 impl Core {
     pub(crate) fn new(options: Options) -> Self {
         Self {
+            return_path: Mutex::new(ReturnPath::new(options.millicores)),
             options,
             table: ArcSwapOption::default(),
             targets: ArcSwap::default(),
@@ -239,6 +241,19 @@
         std::mem::take(&mut *lock(&self.leaving))
     }
 
+    /// Returns when the answer to a request has to be made, for its caller to have it by the goal.
+    pub(crate) fn answer_at(&self, route: &Route, req: &CallerRequest) -> Instant {
+        let goal = Duration::from_millis(route.goal_ms);
+        req.arrived_at + goal.saturating_sub(lock(&self.return_path).margin(req.is_on_new))
+    }
+
+    /// Notes when an answer was written that had to be made at `due_at`.
+    pub(crate) fn answer_written(&self, due_at: Instant) {
+        let late = now().saturating_duration_since(due_at);
+        lock(&self.return_path).add(late);
+        self.instruments.answer_way(late);
+    }
+
     /// Checks whether a request that lost its connection crashed its target.
     pub(crate) fn suspect(self: &Arc<Self>, target: Arc<Target>, req: &CallerRequest) {
         let core = Arc::clone(self);
--- a/crates/front/src/delegate.rs
+++ b/crates/front/src/delegate.rs
@@ -1,6 +1,9 @@
 //! Handing a gather to the host that asks the targets for this one.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use derive_more::Display;
@@ -31,12 +34,18 @@
 const USUAL_GOAL_SHARE: f64 = 0.6;
 /// A data centre can gather when it has targets for this share of the shards that the best one has.
 const SHARDS_SHARE_MIN: f64 = 0.8;
+/// An answer that is made so much later than it was due waited for parts, not for its host.
+pub(crate) const LAG_MAX: Duration = Duration::from_millis(30);
 
 /// Who gathers.
 #[derive(Debug)]
 pub(crate) enum Delegated {
     /// Another host did.
-    Done(GatherReply),
+    Done {
+        reply: GatherReply,
+        /// When it would have been here without any way back; `None` where that says nothing.
+        made_at: Option<Instant>,
+    },
     /// This host has to.
     Here {
         /// Whether another host may have asked targets already.
@@ -65,11 +74,14 @@
 }
 
 /// Hands a gather to a host near the targets, if this host is not such a one.
+///
+/// The answer has to be here at `answer_at`.
 pub(crate) async fn delegate(
     core: &Arc<Core>,
     route: &Route,
     plan: &GatherPlan,
     req: &Arc<CallerRequest>,
+    answer_at: Instant,
 ) -> Delegated {
     let mut is_repeat = false;
     let near = data_centres(core, plan);
@@ -85,19 +97,26 @@
         let any: Vec<&str> = near.iter().map(|name| &**name).collect();
         let Some(gatherer) = picked.or_else(|| hosts.pick(now(), &any, &tried, Want::Sound)) else { break };
         tried.push(Arc::clone(&gatherer.replica.id));
-        let called = call(Arc::clone(&gatherer), route, message(route, plan, req, None, is_repeat)).await;
+        let sent_at = now();
+        let message = message(route, plan, req, None, is_repeat, answer_at);
+        let called = call(Arc::clone(&gatherer), route, message).await;
         let reply = match called {
             Ok(mut replies) => replies.next().await,
             Err(error) => Err(error),
         };
         match reply {
-            Ok(reply) => return Delegated::Done(reply),
+            Ok(reply) => {
+                let held = Duration::from_micros(reply.held_us);
+                let is_in_time = sent_at + held < answer_at + LAG_MAX;
+                return Delegated::Done { reply, made_at: is_in_time.then_some(sent_at + held) };
+            }
             Err(error) => {
                 let detail = format!("route {}: gatherer {} {error}", route.name, gatherer.replica.id);
                 req.log(Code::GathererFailed, &detail);
                 is_repeat |= error.may_have_run();
                 if error == DelegateError::Broken && has_spare_replicas(core, route, plan) {
-                    return Delegated::Done(GatherReply { may_have_run: true, ..GatherReply::not_run() });
+                    let reply = GatherReply { may_have_run: true, ..GatherReply::not_run() };
+                    return Delegated::Done { reply, made_at: None };
                 }
             }
         }
@@ -139,9 +158,10 @@
     req: &CallerRequest,
     shards: &[usize],
     is_repeat: bool,
+    answer_at: Instant,
 ) -> impl Future<Output = Result<FrameReader, DelegateError>> + Send + use<> {
     let message = match &route.backend {
-        Backend::Gather(plan) => message(route, plan, req, Some(shards), is_repeat),
+        Backend::Gather(plan) => message(route, plan, req, Some(shards), is_repeat, answer_at),
         Backend::One(_) | Backend::Split(_) => Bytes::new(),
     };
     call(gatherer, route, message)
@@ -205,6 +225,7 @@
     req: &CallerRequest,
     shards: Option<&[usize]>,
     is_repeat: bool,
+    answer_at: Instant,
 ) -> Bytes {
     let headers = req.headers.iter();
     let headers =
@@ -218,6 +239,7 @@
         body: req.body.clone(),
         deadline_ms: req.deadline.as_millis() as u64,
         age_ms: now().saturating_duration_since(req.arrived_at).as_millis() as u64,
+        answer_in_us: answer_at.saturating_duration_since(now()).as_micros() as u64,
         shards: shards.map(|shards| shards.iter().map(|&shard| shard as u32).collect()),
         is_repeat,
     };
--- a/crates/front/src/fan/groups.rs
+++ b/crates/front/src/fan/groups.rs
@@ -71,7 +71,8 @@
             // The gatherer there decides on second copies.
             self.progress.hedge_refused(shard);
         }
-        let call = part_call(gatherer, self.route, self.req, &shards, self.rules.is_repeat);
+        let call =
+            part_call(gatherer, self.route, self.req, &shards, self.rules.is_repeat, self.rules.aim.goal_at);
         async move {
             let result = async {
                 let mut replies = call.await?;
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -1,6 +1,6 @@
 //! Gathers: one answer out of the parts of many shards.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Instant};
 
 use egret_events::Code;
 use egret_routes::{GatherPlan, Route, greatest};
@@ -10,13 +10,14 @@
 use crate::{
     answer::{elapsed_ms, fan_rules, no_answer},
     caller_request::CallerRequest,
+    clock::now,
     core::Core,
-    delegate::{Delegated, delegate},
+    delegate::{Delegated, LAG_MAX, delegate},
     fan::fan,
     fan_end::FanEnd,
     gather_call::GatherReply,
     hand_over::HandOver,
-    reply::{self, CallerReply},
+    reply::{self, CallerReply, DueAt},
 };
 
 /// Answers a caller's request for the parts of many shards.
@@ -26,14 +27,17 @@
     plan: &GatherPlan,
     req: &Arc<CallerRequest>,
 ) -> CallerReply {
-    let outcome = match delegate(core, route, plan, req).await {
-        Delegated::Done(outcome) => {
+    let answer_at = core.answer_at(route, req);
+    let (outcome, due_at) = match delegate(core, route, plan, req, answer_at).await {
+        Delegated::Done { reply, made_at } => {
             core.instruments.gather("other");
-            outcome
+            (reply, made_at.map(|made_at| made_at.min(answer_at)))
         }
         Delegated::Here { is_repeat } => {
             core.instruments.gather("self");
-            run_gather(core, route, plan, req, is_repeat).await
+            let reply = run_gather(core, route, plan, req, is_repeat, answer_at).await;
+            let made_at = now();
+            (reply, (made_at < answer_at + LAG_MAX).then_some(made_at.min(answer_at)))
         }
     };
     if let Some(come_back_ms) = outcome.come_back_ms {
@@ -52,7 +56,11 @@
         req.log(Code::RequestFailed, "receipts of a gather cannot be passed on");
         return reply::refused(StatusCode::BAD_GATEWAY, "the answer was damaged on its way: try again", None);
     }
-    reply::gathered(req, &core.options.headers, &receipts, missing, outcome.records)
+    let mut reply = reply::gathered(req, &core.options.headers, &receipts, missing, outcome.records);
+    if let Some(due_at) = due_at {
+        reply.extensions_mut().insert(DueAt(due_at));
+    }
+    reply
 }
 
 /// Asks the targets of all shards from this host.
@@ -62,9 +70,10 @@
     plan: &GatherPlan,
     req: &Arc<CallerRequest>,
     is_repeat: bool,
+    answer_at: Instant,
 ) -> GatherReply {
     core.count_parts(plan.shards.len());
-    let mut rules = fan_rules(core, route, req, plan.least_shards());
+    let mut rules = fan_rules(core, route, req, plan.least_shards(), answer_at);
     rules.is_repeat = is_repeat;
     rules.may_group = true;
     let end = fan(core, req, route, &plan.shards, rules, None).await;
@@ -72,6 +81,7 @@
     let receipts = end.receipts().into_iter().map(|(at, receipt)| (at as u32, receipt)).collect();
     GatherReply {
         is_last: true,
+        held_us: 0,
         is_enough: end.is_enough,
         extra: end.extra,
         may_have_run: end.may_have_run,
@@ -94,6 +104,7 @@
     req: &Arc<CallerRequest>,
     shards: &[u32],
     is_repeat: bool,
+    answer_at: Instant,
     replies: mpsc::UnboundedSender<GatherReply>,
 ) -> GatherReply {
     let wanted = |at: &u32| plan.shards.get(*at as usize).cloned();
@@ -102,7 +113,7 @@
         return GatherReply::not_run();
     }
     core.count_parts(services.len());
-    let mut rules = fan_rules(core, route, req, 0);
+    let mut rules = fan_rules(core, route, req, 0, answer_at);
     rules.is_repeat = is_repeat;
     let hand_over = HandOver::new(&rules.aim, shards, plan.top, replies);
     let end = fan(core, req, route, &services, rules, Some(hand_over)).await;
--- a/crates/front/src/gather_call.rs
+++ b/crates/front/src/gather_call.rs
@@ -24,6 +24,8 @@
         pub deadline_ms: u64,
         /// Milliseconds that have passed since then.
         pub age_ms: u64,
+        /// Microseconds after which the sender needs the answer to pass it on in time.
+        pub answer_in_us: u64,
         /// Indices of the shards whose parts are wanted; `None` asks for a whole answer.
         pub shards: Option<Vec<u32>>,
         /// Whether another host may have asked targets for this request already.
@@ -36,6 +38,8 @@
     pub struct GatherReply {
         /// Whether nothing follows; the parts of other data centres come in several replies.
         pub is_last: bool,
+        /// Microseconds from the call's arrival until this reply, in the last one.
+        pub held_us: u64,
         /// Whether enough parts are in for an answer.
         pub is_enough: bool,
         /// Copies beyond the first of each shard.
@@ -61,6 +65,7 @@
     pub(crate) fn not_run() -> Self {
         Self {
             is_last: true,
+            held_us: 0,
             is_enough: false,
             extra: 0,
             may_have_run: false,
--- a/crates/front/src/gather_site.rs
+++ b/crates/front/src/gather_site.rs
@@ -1,6 +1,10 @@
 //! Gathers for other hosts.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use egret_routes::{Backend, GatherPlan, Route, RouteTable};
@@ -53,6 +57,7 @@
 }
 
 async fn respond(core: Arc<Core>, req: Request<Incoming>) -> SiteReply {
+    let arrived_at = now();
     if req.uri().path() != GATHER_PATH {
         return plain(StatusCode::NOT_FOUND, "only gathers are served here\n");
     }
@@ -74,9 +79,11 @@
     let (tx, rx) = mpsc::unbounded_channel();
     let task = tokio::spawn(async move {
         if let Some((route, plan)) = find(&table, &call) {
-            let reply = gather(&core, route, plan, &call, req, tx.clone()).await;
+            let answer_at = arrived_at + Duration::from_micros(call.answer_in_us);
+            let reply = gather(&core, route, plan, &call, req, answer_at, tx.clone()).await;
+            let held_us = now().saturating_duration_since(arrived_at).as_micros() as u64;
             // A sender that is gone needs no reply.
-            let _ = tx.send(reply);
+            let _ = tx.send(GatherReply { held_us, ..reply });
         }
     });
     let replies = stream::unfold((rx, AbortOnDrop(task)), |(mut rx, task)| async move {
@@ -101,6 +108,7 @@
     plan: &GatherPlan,
     call: &GatherCall,
     req: CallerRequest,
+    answer_at: Instant,
     replies: mpsc::UnboundedSender<GatherReply>,
 ) -> GatherReply {
     if core.suspects().is_poison(now(), req.fingerprint) {
@@ -108,8 +116,8 @@
     }
     let req = Arc::new(req);
     match &call.shards {
-        None => run_gather(core, route, plan, &req, call.is_repeat).await,
-        Some(shards) => run_parts(core, route, plan, &req, shards, call.is_repeat, replies).await,
+        None => run_gather(core, route, plan, &req, call.is_repeat, answer_at).await,
+        Some(shards) => run_parts(core, route, plan, &req, shards, call.is_repeat, answer_at, replies).await,
     }
 }
 
@@ -135,6 +143,7 @@
         headers,
         body: call.body.clone(),
         arrived_at: now().checked_sub(Duration::from_millis(call.age_ms))?,
+        is_on_new: false,
         deadline: Duration::from_millis(call.deadline_ms),
         fingerprint: fingerprint_of(&uri, &call.body),
         uri,
--- a/crates/front/src/hand_over.rs
+++ b/crates/front/src/hand_over.rs
@@ -69,6 +69,7 @@
         let bodies: Vec<Bytes> = parts.filter_map(|(_, part)| Some(part.as_ref()?.body.clone())).collect();
         GatherReply {
             is_last: false,
+            held_us: 0,
             is_enough: end.is_enough,
             extra: end.extra,
             may_have_run: end.may_have_run,
--- a/crates/front/src/instruments.rs
+++ b/crates/front/src/instruments.rs
@@ -12,6 +12,7 @@
     requests: Counter<u64>,
     latency: Histogram<f64>,
     part_latency: Histogram<f64>,
+    answer_way: Histogram<f64>,
     parts_missing: Counter<u64>,
     extra_copies: Counter<u64>,
     exchanges: Counter<u64>,
@@ -28,6 +29,10 @@
             requests: metrics.counter("requests", "Callers' requests by the status that they got."),
             latency: metrics.latency("request_ms", "Milliseconds until callers' requests were answered."),
             part_latency: metrics.latency("part_ms", "Milliseconds until targets answered with success."),
+            answer_way: metrics.latency(
+                "answer_way_ms",
+                "Milliseconds from when a gather's answer was due until it was written.",
+            ),
             parts_missing: metrics.counter("parts_missing", "Shards that successful answers lack."),
             extra_copies: metrics.counter("extra_copies", "Copies beyond the first of each service."),
             exchanges: metrics.counter("exchanges", "Exchanges with targets by their end."),
@@ -48,6 +53,10 @@
         self.part_latency.record(latency.as_secs_f64() * 1000.0, &[]);
     }
 
+    pub(crate) fn answer_way(&self, late: Duration) {
+        self.answer_way.record(late.as_secs_f64() * 1000.0, &[]);
+    }
+
     pub(crate) fn gather_end(&self, missing: usize, extra: u32) {
         self.parts_missing.add(missing as u64, &[]);
         self.extra_copies.add(u64::from(extra), &[]);
--- a/crates/front/src/reply.rs
+++ b/crates/front/src/reply.rs
@@ -1,5 +1,7 @@
 //! Answers and refusals as callers get them.
 
+use std::time::Instant;
+
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
@@ -16,6 +18,10 @@
 /// What callers get.
 pub(crate) type CallerReply = Response<Full<Bytes>>;
 
+/// When an answer had to be made; goes with the answer until it is written.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DueAt(pub(crate) Instant);
+
 /// Passes a target's answer on: its status, receipt and body are unchanged.
 pub(crate) fn relayed(answer: TargetAnswer, names: &HeaderNames) -> CallerReply {
     let mut headers = answer.headers;
--- a/crates/front/src/timed_io.rs
+++ b/crates/front/src/timed_io.rs
@@ -1,4 +1,4 @@
-//! A connection that remembers when a request began to arrive.
+//! A connection that remembers when a request began to arrive, and when its answer left.
 
 use std::{
     io,
@@ -13,7 +13,10 @@
     net::TcpStream,
 };
 
-use crate::{clock::now, core::lock};
+use crate::{
+    clock::now,
+    core::{Core, lock},
+};
 
 /// What a caller's connection is doing.
 #[derive(Clone, Copy, Debug)]
@@ -28,34 +31,61 @@
 
 /// The activity of one connection; clones share it.
 #[derive(Clone, Debug)]
-pub(crate) struct ActivityCell(Arc<Mutex<Activity>>);
+pub(crate) struct ActivityCell(Arc<Mutex<State>>);
+
+#[derive(Debug)]
+struct State {
+    activity: Activity,
+    /// When the answer had to be made that is written next.
+    due_at: Option<Instant>,
+}
 
 impl ActivityCell {
     pub(crate) fn idle_since(at: Instant) -> Self {
-        Self(Arc::new(Mutex::new(Activity::Idle(at))))
+        Self(Arc::new(Mutex::new(State { activity: Activity::Idle(at), due_at: None })))
     }
 
     pub(crate) fn get(&self) -> Activity {
-        *lock(&self.0)
+        lock(&self.0).activity
     }
 
     pub(crate) fn set(&self, activity: Activity) {
-        *lock(&self.0) = activity;
+        lock(&self.0).activity = activity;
+    }
+
+    /// Ends a request; its answer, which had to be made at `due_at`, is written next.
+    pub(crate) fn answered(&self, due_at: Option<Instant>) {
+        *lock(&self.0) = State { activity: Activity::Idle(now()), due_at };
     }
 
     fn bytes_came(&self) {
-        let mut activity = lock(&self.0);
-        if matches!(*activity, Activity::Idle(_)) {
-            *activity = Activity::Header(now());
+        let mut state = lock(&self.0);
+        if matches!(state.activity, Activity::Idle(_)) {
+            state.activity = Activity::Header(now());
         }
     }
+
+    fn take_due(&self) -> Option<Instant> {
+        lock(&self.0).due_at.take()
+    }
 }
 
-/// A connection that remembers when a request began to arrive.
+/// A connection that remembers when a request began to arrive, and notes when answers leave.
 #[derive(Debug)]
 pub(crate) struct TimedIo {
     pub(crate) stream: TcpStream,
     pub(crate) activity: ActivityCell,
+    pub(crate) core: Arc<Core>,
+}
+
+impl TimedIo {
+    fn note_written(&self, poll: &Poll<io::Result<usize>>) {
+        if matches!(poll, Poll::Ready(Ok(_)))
+            && let Some(due_at) = self.activity.take_due()
+        {
+            self.core.answer_written(due_at);
+        }
+    }
 }
 
 impl AsyncRead for TimedIo {
@@ -75,7 +105,9 @@
 
 impl AsyncWrite for TimedIo {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.note_written(&poll);
+        poll
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -91,7 +123,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let poll = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.note_written(&poll);
+        poll
     }
 
     fn is_write_vectored(&self) -> bool {
