Bound what targets, the store and other hosts may send without end

Cause: a target's body could take 8 MiB on each connection, a head what the library allows, interim answers and chunks of one byte anything; answers of the store were not bounded at all. Ruled out: a bound for each body alone; a gather holds hundreds, and 1xx answers or chunk extensions are no body. A total of 16 MiB a connection: chunks of one byte take seconds of a core. Change: all that a connection reads for one exchange counts against one allowance; a part keeps only its greatest records while it comes; answers that are held share a quarter of the host's memory, which is free again when their bytes are dropped; answers of the store and of hosts end at 8 MiB.

--- /dev/null
+++ b/crates/front/src/bounded_io.rs
@@ -0,0 +1,103 @@
+//! A connection to a target or another host that reads only so much for one exchange.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    task::{Context, Poll},
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+/// Bytes that a connection may still read for its exchange; clones share it.
+///
+/// Whatever comes counts: heads, bodies, chunk lengths, trailers, interim answers. The HTTP
+/// library bounds some of them one by one, and none of them together.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Allowance(Arc<AtomicUsize>);
+
+impl Allowance {
+    /// Allows so many bytes from now on.
+    pub(crate) fn set(&self, bytes: usize) {
+        self.0.store(bytes, Ordering::Relaxed);
+    }
+
+    /// Allows so many bytes more.
+    pub(crate) fn add(&self, bytes: usize) {
+        self.0.fetch_add(bytes, Ordering::Relaxed);
+    }
+
+    /// Tells whether all that was allowed has come.
+    pub(crate) fn is_used_up(&self) -> bool {
+        self.0.load(Ordering::Relaxed) == 0
+    }
+
+    /// Counts bytes; returns whether they were allowed.
+    fn take(&self, bytes: usize) -> bool {
+        let used = |left: usize| Some(left.saturating_sub(bytes));
+        let before = self.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, used);
+        before.is_ok_and(|left| bytes <= left)
+    }
+}
+
+/// A connection whose reads fail once more came than its exchange allows.
+#[derive(Debug)]
+pub(crate) struct BoundedIo {
+    stream: TcpStream,
+    allowance: Allowance,
+}
+
+impl BoundedIo {
+    pub(crate) fn new(stream: TcpStream, allowance: Allowance) -> Self {
+        Self { stream, allowance }
+    }
+}
+
+impl AsyncRead for BoundedIo {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let came = buf.filled().len() - before;
+        if self.allowance.take(came) {
+            return poll;
+        }
+        buf.set_filled(before);
+        Poll::Ready(Err(io::Error::other("the peer sent more than its answer may have")))
+    }
+}
+
+impl AsyncWrite for BoundedIo {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -11,7 +11,11 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
-use crate::{clock::now, target::Target};
+use crate::{
+    bounded_io::{Allowance, BoundedIo},
+    clock::now,
+    target::Target,
+};
 
 /// Longer than the ways between data centres and a busy target's handshake need.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -23,12 +27,16 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 /// How long a connection may need to take a new request after it gave an answer.
 const READY_WAIT: Duration = Duration::from_millis(5);
+/// Bytes of the head of an answer, and of what is read ahead, at most.
+pub(crate) const HEAD_BYTES_MAX: usize = 32 << 10;
 
 /// One connection to a target, used for one exchange at a time.
 #[derive(Debug)]
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
     pub(crate) idle_max: Duration,
+    /// What may still come for the exchange that uses the connection.
+    pub(crate) allowance: Allowance,
     idle_since: Instant,
 }
 
@@ -56,13 +64,15 @@
         let connecting = TcpStream::connect(target.replica.address);
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await.ok()?.ok()?;
         prepare(&stream).ok()?;
-        let (sender, driver) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let allowance = Allowance::default();
+        let io = TokioIo::new(BoundedIo::new(stream, allowance.clone()));
+        let (sender, driver) = http1::Builder::new().max_buf_size(HEAD_BYTES_MAX).handshake(io).await.ok()?;
         tokio::spawn(async move {
             // The exchange that uses the connection sees how it ends.
             let _ = driver.await;
             drop(open);
         });
-        Some(Self { sender, idle_max: IDLE_DEFAULT, idle_since: now() })
+        Some(Self { sender, idle_max: IDLE_DEFAULT, allowance, idle_since: now() })
     }
 
     /// Takes an idle connection that still works.
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -15,8 +15,8 @@
 use tokio::sync::Notify;
 
 use crate::{
-    Options, caller_request::CallerRequest, clock::now, connection::Connection, instruments::Instruments,
-    route_latency::RouteLatency, target::Target, target_set::TargetSet,
+    Options, answer_memory::AnswerMemory, caller_request::CallerRequest, clock::now, connection::Connection,
+    instruments::Instruments, route_latency::RouteLatency, target::Target, target_set::TargetSet,
 };
 
 /// The share of a target's connections that hosts use; the rest is for hosts that come and go.
@@ -29,7 +29,8 @@
 const HOSTS_MIN: usize = 12;
 /// How long a target that broke a connection may take to show that it still runs.
 const CRASH_CHECK_AFTER: Duration = Duration::from_millis(20);
-
+/// Targets' answers take up one part of so many of the host's memory at most.
+const ANSWERS_MEMORY_SHARE: usize = 4;
 /// A value under a name, in a sorted vector.
 #[derive(Debug)]
 struct Named<T> {
@@ -58,6 +59,7 @@
     budgets: Mutex<Vec<Named<RetryBudget>>>,
     latencies: Mutex<Vec<Named<RouteLatency>>>,
     return_path: Mutex<ReturnPath>,
+    pub(crate) answer_memory: AnswerMemory,
     /// Runs of targets that said that they leave, until the control thread takes them.
     leaving: Mutex<Vec<ReplicaRun>>,
     has_leaving: Notify,
@@ -66,6 +68,7 @@
 impl Core {
     pub(crate) fn new(options: Options) -> Self {
         Self {
+            answer_memory: AnswerMemory::new(options.memory_bytes / ANSWERS_MEMORY_SHARE),
             return_path: Mutex::new(ReturnPath::new(options.millicores)),
             options,
             table: ArcSwapOption::default(),
--- a/crates/front/src/delegate.rs
+++ b/crates/front/src/delegate.rs
@@ -28,6 +28,8 @@
 pub(crate) const GATHER_PATH: &str = "/v1/gather";
 /// How long a gatherer may take to say that it has the request; it says so before it asks targets.
 const ACCEPT_TIMEOUT: Duration = Duration::from_millis(60);
+/// Bytes of all replies to one call, at most: receipts and records of hundreds of shards.
+const REPLIES_BYTES_MAX: usize = 16 << 20;
 /// Gatherers that are tried before this host asks the targets itself.
 const GATHERERS_MAX: usize = 2;
 /// The usual time of a gather, as a share of the route's goal.
@@ -205,6 +207,7 @@
         let mut message = Request::new(Full::new(body.clone()));
         *message.method_mut() = Method::POST;
         *message.uri_mut() = hyper::Uri::from_static(GATHER_PATH);
+        connection.allowance.set(REPLIES_BYTES_MAX);
         let head = tokio::time::timeout_at(accept_by, connection.sender.try_send_request(message)).await;
         match head.map_err(|_| DelegateError::NotAccepted)? {
             Ok(res) if res.status() == StatusCode::OK => return Ok((connection, res.into_body())),
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -7,9 +7,10 @@
 
 use bytes::Bytes;
 use egret_policy::ExchangeEnd;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use egret_routes::TopRecords;
+use http_body_util::{BodyExt, Full};
 use hyper::{
-    Request, Response, StatusCode,
+    HeaderMap, Request, Response, StatusCode,
     body::Incoming,
     header::{CONNECTION, CONTENT_ENCODING, HeaderValue},
 };
@@ -17,15 +18,24 @@
 use crate::{
     caller_request::CallerRequest,
     clock::now,
-    connection::Connection,
+    connection::{Connection, HEAD_BYTES_MAX},
     core::Core,
     retry_after::retry_after,
     target::{Running, Target},
     target_answer::{ExchangeResult, LossCause, TargetAnswer},
 };
 
-/// Bytes of a target's answer that are held in memory, at most.
+/// Bytes of the body of an answer that is passed on, at most.
 const ANSWER_BYTES_MAX: usize = 8 << 20;
+/// Bytes of the body of a part, at most; only its greatest records are held.
+const PART_BYTES_MAX: usize = 1 << 20;
+/// Bytes of a receipt, at most; a gather holds one for each part.
+const RECEIPT_BYTES_MAX: usize = 4 << 10;
+/// Bytes that a body may have on the wire beyond its own and as many again: chunk sizes, trailers,
+/// and what is read ahead. Chunks of a few bytes each cost more than they bring.
+const FRAMING_BYTES_MAX: usize = 64 << 10;
+/// Bytes on the wire for each byte of a body, at most.
+const FRAMING_FACTOR: usize = 2;
 
 /// What an exchange needs besides its request.
 #[derive(Clone, Copy, Debug)]
@@ -36,8 +46,8 @@
     pub(crate) usual: Duration,
     /// Whether only a new connection will do: none on which an earlier answer could still come.
     pub(crate) fresh: bool,
-    /// Whether the target holds a shard of a gather.
-    pub(crate) is_shard: bool,
+    /// How many records of a part count, where the target holds a shard of a gather.
+    pub(crate) top: Option<usize>,
 }
 
 /// Sends a request to a target and reads its whole answer.
@@ -88,6 +98,7 @@
         let Some(mut connection) = connection.filter(|_| target.is_open(now())) else {
             return ExchangeResult::NotSent;
         };
+        connection.allowance.set(HEAD_BYTES_MAX);
         let message = message(core, target, req, terms.end_at);
         let res = match connection.sender.try_send_request(message).await {
             Ok(res) => res,
@@ -96,10 +107,10 @@
                     // The connection ended while it was idle, before any byte was written.
                     continue;
                 }
-                return ExchangeResult::Lost(LossCause::Broken);
+                return ExchangeResult::Lost(loss_cause(&connection));
             }
         };
-        return receive(core, target, req, connection, res).await;
+        return receive(core, target, req, terms, connection, res).await;
     }
 }
 
@@ -113,7 +124,7 @@
         {
             return Some(connection);
         }
-        let limit = core.connections_max(&target.replica.service, terms.is_shard);
+        let limit = core.connections_max(&target.replica.service, terms.top.is_some());
         let freed = target.freed.notified();
         if target.state().open < limit {
             core.instruments.connection();
@@ -147,6 +158,7 @@
     core: &Core,
     target: &Arc<Target>,
     req: &CallerRequest,
+    terms: ExchangeTerms,
     mut connection: Connection,
     res: Response<Incoming>,
 ) -> ExchangeResult {
@@ -157,10 +169,11 @@
         return ExchangeResult::Lost(LossCause::Foreign);
     }
     take_load(core, target, &head.headers);
-    let body = match Limited::new(body, ANSWER_BYTES_MAX).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<LengthLimitError>() => return ExchangeResult::Lost(LossCause::TooLarge),
-        Err(_) => return ExchangeResult::Lost(LossCause::Broken),
+    // Only a success is a part; a failure is passed on or dropped as it is.
+    let top = terms.top.filter(|_| head.status.is_success());
+    let body = match read_body(core, &connection, body, top).await {
+        Ok(body) => body,
+        Err(cause) => return ExchangeResult::Lost(cause),
     };
     if !head.headers.get(CONNECTION).is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close")) {
         if let Some(idle_max) = idle_max(&head.headers) {
@@ -175,15 +188,54 @@
         return ExchangeResult::Lost(LossCause::Encoded);
     }
     let receipt = head.headers.get(&names.receipt).cloned();
+    if receipt.as_ref().is_some_and(|receipt| receipt.len() > RECEIPT_BYTES_MAX) {
+        return ExchangeResult::Lost(LossCause::TooLarge);
+    }
     if head.status.is_success() && receipt.is_none() {
         return ExchangeResult::Lost(LossCause::Unsigned);
     }
-    let answer = TargetAnswer { status: head.status, headers: head.headers, receipt, body };
+    // Nobody needs the headers of a part.
+    let headers = if top.is_some() { HeaderMap::new() } else { head.headers };
+    let answer = TargetAnswer { status: head.status, headers, receipt, body };
     if answer.status.is_success() { ExchangeResult::Success(answer) } else { ExchangeResult::Failure(answer) }
 }
 
+/// Reads the body of an answer: the greatest records of a part, or all of it.
+async fn read_body(
+    core: &Core,
+    connection: &Connection,
+    mut body: Incoming,
+    top: Option<usize>,
+) -> Result<Bytes, LossCause> {
+    let bytes_max = if top.is_some() { PART_BYTES_MAX } else { ANSWER_BYTES_MAX };
+    connection.allowance.set(FRAMING_BYTES_MAX);
+    let mut whole = core.answer_memory.begin();
+    let mut records = top.map(TopRecords::new);
+    let mut bytes = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| loss_cause(connection))?;
+        let Ok(data) = frame.into_data() else { continue };
+        connection.allowance.add(FRAMING_FACTOR * data.len());
+        bytes += data.len();
+        if bytes > bytes_max {
+            return Err(LossCause::TooLarge);
+        }
+        match &mut records {
+            Some(records) => records.add(&data),
+            None if whole.add(&data) => {}
+            None => return Err(LossCause::TooLarge),
+        }
+    }
+    Ok(records.map_or_else(|| whole.freeze(), TopRecords::finish))
+}
+
+/// Tells why a connection broke off.
+fn loss_cause(connection: &Connection) -> LossCause {
+    if connection.allowance.is_used_up() { LossCause::TooLarge } else { LossCause::Broken }
+}
+
 /// Takes what an answer says of its target, whichever request it belongs to.
-fn take_signs(core: &Core, target: &Target, status: StatusCode, headers: &hyper::HeaderMap) {
+fn take_signs(core: &Core, target: &Target, status: StatusCode, headers: &HeaderMap) {
     let names = &core.options.headers;
     if headers.get_all(&names.leaving).iter().any(|value| value.as_bytes().trim_ascii() == b"1") {
         core.target_leaves(target);
@@ -195,7 +247,7 @@
     }
 }
 
-fn take_load(core: &Core, target: &Target, headers: &hyper::HeaderMap) {
+fn take_load(core: &Core, target: &Target, headers: &HeaderMap) {
     let load = headers.get(&core.options.headers.load).and_then(|value| value.to_str().ok());
     let mut numbers =
         load.into_iter().flat_map(|text| text.split(',')).map(|item| item.trim().parse::<u32>());
@@ -205,7 +257,7 @@
 }
 
 /// Returns how long the target keeps an idle connection, where it says so in whole seconds.
-fn idle_max(headers: &hyper::HeaderMap) -> Option<Duration> {
+fn idle_max(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get("keep-alive")?.to_str().ok()?;
     let timeout = text.split(',').find_map(|item| item.trim().strip_prefix("timeout="))?;
     Some(Duration::from_secs(timeout.parse().ok()?))
--- a/crates/front/src/fan.rs
+++ b/crates/front/src/fan.rs
@@ -47,6 +47,8 @@
     rules: FanRules,
     /// Whether the services are the shards of a gather.
     is_gather: bool,
+    /// How many records of a part count, where the services are shards.
+    top: Option<usize>,
     progress: GatherProgress,
     /// Services that are overloaded and not asked yet.
     left_out: Vec<usize>,
@@ -69,13 +71,18 @@
     // Parts that are handed over are never enough by themselves: the receiver decides.
     let goal_at = if hand_over.is_some() { rules.aim.end_at } else { rules.aim.goal_at };
     let aim = GatherAim { goal_at, ..rules.aim };
+    let top = match &route.backend {
+        Backend::Gather(plan) => Some(plan.top),
+        Backend::One(_) | Backend::Split(_) => None,
+    };
     let mut fan = Fan {
         core,
         req,
         route,
         services,
         rules,
-        is_gather: matches!(route.backend, Backend::Gather(_)),
+        is_gather: top.is_some(),
+        top,
         progress: GatherProgress::new(services.len(), aim),
         left_out: Vec::new(),
         tried: vec![Vec::new(); services.len()],
--- a/crates/front/src/fan/copies.rs
+++ b/crates/front/src/fan/copies.rs
@@ -88,7 +88,7 @@
             usual: self.rules.usual,
             // An answer to an earlier request may wait on a connection that was used before.
             fresh: !self.rules.repeats || self.end.last_loss == Some(LossCause::Foreign),
-            is_shard: self.is_gather,
+            top: self.top,
         };
         let run = exchange(Arc::clone(self.core), target, Arc::clone(self.req), terms);
         async move {
--- a/crates/front/src/gather_frames.rs
+++ b/crates/front/src/gather_frames.rs
@@ -17,7 +17,7 @@
 /// Bytes of a reply's length.
 const LENGTH_BYTES: usize = 4;
 /// Bytes of one reply, at most: the parts of many shards.
-const REPLY_BYTES_MAX: usize = 32 << 20;
+const REPLY_BYTES_MAX: usize = 4 << 20;
 
 /// Encodes a reply with its length.
 pub(crate) fn encode_frame(reply: &GatherReply) -> Bytes {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -20,7 +20,9 @@
 //! what was weighed.
 
 mod answer;
+mod answer_memory;
 mod beliefs;
+mod bounded_io;
 mod caller_connection;
 mod caller_request;
 mod clock;
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
 use reqwest::{Method, header::CONTENT_TYPE};
 use serde::{Serialize, de::DeserializeOwned};
@@ -65,6 +65,7 @@
 #[derive(Clone, Debug)]
 pub struct HttpClient {
     transport: Transport,
+    answer_bytes_max: usize,
 }
 
 #[derive(Clone, Debug)]
@@ -85,6 +86,8 @@
 const PACKED: &str = "application/msgpack";
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Bytes of an answer, at most, where nothing else is said: a whole configuration and all replicas.
+const ANSWER_BYTES_MAX: usize = 8 << 20;
 
 impl HttpClient {
     /// Opens a client that keeps at most `idle` unused connections per peer.
@@ -118,13 +121,13 @@
             .tcp_nodelay(true)
             .build()
             .expect("the client needs no resource that can be missing");
-        Self { transport: Transport::Network(inner) }
+        Self { transport: Transport::Network(inner), answer_bytes_max: ANSWER_BYTES_MAX }
     }
 
     /// Creates a client whose requests a carrier takes, for scenarios without a network.
     #[must_use]
     pub fn carried(carrier: Arc<dyn Carrier>) -> Self {
-        Self { transport: Transport::Carried(carrier) }
+        Self { transport: Transport::Carried(carrier), answer_bytes_max: ANSWER_BYTES_MAX }
     }
 
     /// Sends a GET request.
@@ -212,7 +215,7 @@
     ) -> Result<Exchange, ExchangeError> {
         let answer = async {
             match &self.transport {
-                Transport::Network(client) => send(client, address, message).await,
+                Transport::Network(client) => send(client, address, message, self.answer_bytes_max).await,
                 Transport::Carried(carrier) => {
                     let call = Call::new(message.method.as_str(), message.path, message.body);
                     carrier.carry(address, call).await
@@ -228,20 +231,33 @@
     client: &reqwest::Client,
     address: SocketAddr,
     message: Message<'_>,
+    bytes_max: usize,
 ) -> Result<Exchange, ExchangeError> {
     let Message { method, path, media_type, body } = message;
     let url = format!("http://{address}{path}");
     let request = client.request(method, url).header(CONTENT_TYPE, media_type).body(body);
     let answer = async {
-        let response = request.send().await?;
+        let mut response = request.send().await?;
         let status = response.status().as_u16();
-        let body = response.bytes().await?;
-        Ok::<_, reqwest::Error>(Exchange { status, body })
+        let mut body = BytesMut::new();
+        while let Some(data) = response.chunk().await? {
+            if body.len() + data.len() > bytes_max {
+                return Ok(None);
+            }
+            body.extend_from_slice(&data);
+        }
+        Ok::<_, reqwest::Error>(Some(Exchange { status, body: body.freeze() }))
     };
-    answer.await.map_err(|error| match error.is_connect() {
-        true => ExchangeError::NotSent { address, reason: innermost(&error) },
-        false => ExchangeError::Broken { address, reason: innermost(&error) },
-    })
+    match answer.await {
+        Ok(Some(exchange)) => Ok(exchange),
+        Ok(None) => {
+            Err(ExchangeError::BadAnswer { address, reason: format!("it has over {bytes_max} bytes") })
+        }
+        Err(error) if error.is_connect() => {
+            Err(ExchangeError::NotSent { address, reason: innermost(&error) })
+        }
+        Err(error) => Err(ExchangeError::Broken { address, reason: innermost(&error) }),
+    }
 }
 
 /// Returns the last cause of an error: the library's outer messages do not tell one from another.
--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -25,7 +25,7 @@
 //! ```
 //!
 //! - [`Registry`]: the replicas that registered themselves, with the store's revisions.
-//! - [`greatest`]: the merge of the parts of a gather.
+//! - [`TopRecords`], [`greatest`]: the merge of the parts of a gather.
 //!
 //! docs/PLATFORM.md says how both reach every host.
 
@@ -42,6 +42,7 @@
 mod route;
 mod service;
 mod table;
+mod top_records;
 mod weighted;
 
 pub use backend::Backend;
@@ -56,4 +57,5 @@
 pub use route::Route;
 pub use service::Service;
 pub use table::RouteTable;
+pub use top_records::TopRecords;
 pub use weighted::Weighted;
--- /dev/null
+++ b/crates/routes/tests/merge.rs
@@ -0,0 +1,32 @@
+//! The merge of parts, whole or while they arrive.
+
+use bytes::Bytes;
+use egret_routes::{RECORD_BYTES, TopRecords, greatest};
+use quickcheck::quickcheck;
+
+quickcheck! {
+    /// However a part is cut on its way, its greatest records are those of the whole part.
+    fn a_part_may_come_in_any_pieces(part: Vec<u8>, cuts: Vec<usize>, top: u8) -> bool {
+        let part: Vec<u8> = part.iter().flat_map(|byte| byte.wrapping_mul(7).to_be_bytes().repeat(5)).collect();
+        let top = usize::from(top % 12);
+        let mut records = TopRecords::new(top);
+        let mut rest = &part[..];
+        for cut in cuts {
+            let (piece, later) = rest.split_at(cut % (rest.len() + 1));
+            records.add(piece);
+            rest = later;
+        }
+        records.add(rest);
+        records.finish() == greatest(&[Bytes::from(part)], top)
+    }
+}
+
+#[test]
+fn a_part_without_end_keeps_its_greatest_records() {
+    let mut records = TopRecords::new(2);
+    for round in 0..10_000_u32 {
+        let byte = (round % 251) as u8;
+        records.add(&[byte; RECORD_BYTES]);
+    }
+    assert_eq!(records.finish(), [[250; RECORD_BYTES], [250; RECORD_BYTES]].concat());
+}
