Count a gather's parts instead of looking at all shards at each step

Cause: GatherProgress::next looked at all shards up to three times for each part, 270 x 270 x 3 steps a gather on the large site. Change: counts of parts that are in and that may come are kept; copies that may want a second one wait in a heap by the time at which they were sent, and entries that no longer hold are dropped as they come up. Conclusion: kept for the growth of its cost, not for a measured gain.

--- a/crates/policy/src/gather_progress.rs
+++ b/crates/policy/src/gather_progress.rs
@@ -1,6 +1,10 @@
 //! When a gather sends second copies, answers early, or gives up.
 
-use std::time::{Duration, Instant};
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap,
+    time::{Duration, Instant},
+};
 
 /// What a gather aims at.
 #[derive(Clone, Copy, Debug)]
@@ -40,6 +44,21 @@
     dead: bool,
 }
 
+impl ShardState {
+    fn is_open(&self) -> bool {
+        !self.done && !self.dead
+    }
+
+    /// Tells whether a second copy may go out beside the one sent then.
+    fn may_hedge(&self, sent_at: Instant, attempts_max: usize) -> bool {
+        self.is_open()
+            && self.outstanding == 1
+            && !self.hedge_refused
+            && self.attempts < attempts_max
+            && self.sent_at == Some(sent_at)
+    }
+}
+
 /// The state of one gather: which parts are in, which are out, what is next.
 ///
 /// Answers the load of shards whose replicas pause: one pausing replica in twenty is met by
@@ -50,21 +69,30 @@
 pub struct GatherProgress {
     aim: GatherAim,
     shards: Vec<ShardState>,
+    /// Shards whose part is in.
+    done: usize,
+    /// Shards whose part may still come.
+    open: usize,
+    /// When copies were sent that may want a second one, the earliest first. Entries that no
+    /// longer hold are dropped as they come up, so that no step looks at all shards.
+    sent: BinaryHeap<Reverse<(Instant, usize)>>,
 }
 
 impl GatherProgress {
     /// Starts a gather over so many shards.
     #[must_use]
     pub fn new(shards: usize, aim: GatherAim) -> Self {
-        Self { aim, shards: vec![ShardState::default(); shards] }
+        let states = vec![ShardState::default(); shards];
+        Self { aim, shards: states, done: 0, open: shards, sent: BinaryHeap::new() }
     }
 
     /// Counts a copy that was sent to a replica of a shard.
     pub fn sent(&mut self, now: Instant, shard: usize) {
-        let state = &mut self.shards[shard];
-        state.sent_at = Some(now);
-        state.attempts += 1;
-        state.outstanding += 1;
+        self.change(shard, |state| {
+            state.sent_at = Some(now);
+            state.attempts += 1;
+            state.outstanding += 1;
+        });
     }
 
     /// Notes that the budget, or the lack of another replica, forbids a second copy.
@@ -74,38 +102,41 @@
 
     /// Takes a part.
     pub fn arrived(&mut self, shard: usize) {
-        let state = &mut self.shards[shard];
-        state.outstanding = state.outstanding.saturating_sub(1);
-        state.done = true;
+        self.change(shard, |state| {
+            state.outstanding = state.outstanding.saturating_sub(1);
+            state.done = true;
+        });
     }
 
     /// Takes the failure of a copy; returns whether the shard may be tried again.
     pub fn failed(&mut self, shard: usize) -> bool {
-        let state = &mut self.shards[shard];
-        state.outstanding = state.outstanding.saturating_sub(1);
+        self.change(shard, |state| state.outstanding = state.outstanding.saturating_sub(1));
+        let state = &self.shards[shard];
         !state.done && state.outstanding == 0 && state.attempts < self.aim.attempts_max
     }
 
     /// Takes back a copy of which nothing left this host.
     pub fn unsent(&mut self, shard: usize) {
-        let state = &mut self.shards[shard];
-        state.outstanding = state.outstanding.saturating_sub(1);
-        state.attempts = state.attempts.saturating_sub(1);
+        self.change(shard, |state| {
+            state.outstanding = state.outstanding.saturating_sub(1);
+            state.attempts = state.attempts.saturating_sub(1);
+        });
     }
 
     /// Gives a shard up, unless a copy of it still runs.
     pub fn give_up_shard(&mut self, shard: usize) {
-        let state = &mut self.shards[shard];
-        if state.outstanding == 0 {
-            state.dead = !state.done;
-        } else {
-            state.hedge_refused = true;
-        }
+        self.change(shard, |state| {
+            if state.outstanding == 0 {
+                state.dead = !state.done;
+            } else {
+                state.hedge_refused = true;
+            }
+        });
     }
 
     /// Takes up a shard again that was given up before anything was sent.
     pub fn take_up(&mut self, shard: usize) {
-        self.shards[shard].dead = false;
+        self.change(shard, |state| state.dead = false);
     }
 
     /// Tells whether a shard's part is in.
@@ -129,25 +160,23 @@
     /// Returns the number of parts that are in or still out.
     #[must_use]
     pub fn hopeful(&self) -> usize {
-        self.shards.iter().filter(|shard| shard.done || !shard.dead).count()
+        self.done + self.open
     }
 
     /// Returns the number of parts that are in.
     #[must_use]
     pub fn done(&self) -> usize {
-        self.shards.iter().filter(|shard| shard.done).count()
+        self.done
     }
 
     /// Decides what is next.
     #[must_use]
-    pub fn next(&self, now: Instant) -> GatherStep {
-        let done = self.done();
-        let open = self.shards.iter().filter(|shard| !shard.done && !shard.dead).count();
-        let is_enough = done >= self.aim.least;
-        if done + open < self.aim.least {
+    pub fn next(&mut self, now: Instant) -> GatherStep {
+        let is_enough = self.done >= self.aim.least;
+        if self.hopeful() < self.aim.least {
             return GatherStep::GiveUp;
         }
-        if is_enough && (open == 0 || now >= self.aim.goal_at) {
+        if is_enough && (self.open == 0 || now >= self.aim.goal_at) {
             return GatherStep::Answer;
         }
         if now >= self.aim.end_at {
@@ -157,21 +186,35 @@
         self.next_hedge(now, limit)
     }
 
-    fn next_hedge(&self, now: Instant, limit: Instant) -> GatherStep {
+    fn next_hedge(&mut self, now: Instant, limit: Instant) -> GatherStep {
         let Some(hedge_after) = self.aim.hedge_after else { return GatherStep::Wait(limit) };
-        let mut wake_at = limit;
-        for (at, shard) in self.shards.iter().enumerate() {
-            let is_waiting = !shard.done && !shard.dead && shard.outstanding == 1 && !shard.hedge_refused;
-            let Some(sent_at) = shard.sent_at.filter(|_| is_waiting) else { continue };
-            if shard.attempts >= self.aim.attempts_max {
+        while let Some(&Reverse((sent_at, shard))) = self.sent.peek() {
+            if !self.shards[shard].may_hedge(sent_at, self.aim.attempts_max) {
+                self.sent.pop();
                 continue;
             }
             let due_at = sent_at + hedge_after;
-            if due_at <= now {
-                return GatherStep::Hedge(at);
-            }
-            wake_at = wake_at.min(due_at);
+            return if due_at <= now {
+                GatherStep::Hedge(shard)
+            } else {
+                GatherStep::Wait(limit.min(due_at))
+            };
+        }
+        GatherStep::Wait(limit)
+    }
+
+    /// Changes a shard's state, and with it what is counted of all shards.
+    fn change(&mut self, shard: usize, act: impl FnOnce(&mut ShardState)) {
+        let state = &mut self.shards[shard];
+        self.done -= usize::from(state.done);
+        self.open -= usize::from(state.is_open());
+        act(state);
+        self.done += usize::from(state.done);
+        self.open += usize::from(state.is_open());
+        if let Some(sent_at) = state.sent_at
+            && state.may_hedge(sent_at, self.aim.attempts_max)
+        {
+            self.sent.push(Reverse((sent_at, shard)));
         }
-        GatherStep::Wait(wake_at)
     }
 }
