--- a/crates/front/src/caller_request.rs
+++ b/crates/front/src/caller_request.rs
@@ -18,6 +18,7 @@
 use crate::{
     clock::now,
     header_names::{HeaderNames, remove_hop_by_hop},
+    timed_io::Arrival,
 };
 
 /// How long a caller is taken to wait that does not say so.
@@ -35,6 +36,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) arrived_at: Instant,
+    /// Whether the caller opened its connection for this request.
+    pub(crate) is_on_new: bool,
     pub(crate) deadline: Duration,
     pub(crate) fingerprint: Fingerprint,
 }
@@ -62,7 +65,7 @@
         req: Request<Incoming>,
         names: &HeaderNames,
         limits: CallerLimits,
-        arrived_at: Instant,
+        arrival: Arrival,
     ) -> Result<Self, IntakeError> {
         let (head, body) = req.into_parts();
         let id = head.headers.get(&names.request_id).cloned().ok_or(IntakeError::NoId)?;
@@ -85,7 +88,18 @@
         remove_hop_by_hop(&mut headers);
         let uri = origin_form(head.uri);
         let fingerprint = fingerprint_of(&uri, &body);
-        Ok(Self { id, method: head.method, uri, host, headers, body, arrived_at, deadline, fingerprint })
+        Ok(Self {
+            id,
+            method: head.method,
+            uri,
+            host,
+            headers,
+            body,
+            arrived_at: arrival.at,
+            is_on_new: arrival.is_on_new,
+            deadline,
+            fingerprint,
+        })
     }
 
     /// Logs a decision that touches this request.
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -10,13 +10,13 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use egret_events::{Code, log_decision};
-use egret_policy::{RetryBudget, Suspects};
-use egret_routes::{Registry, Replica, ReplicaRun, Route, RouteTable};
+use egret_policy::{AnswerWay, RetryBudget, ReturnPath, Suspects};
+use egret_routes::{Backend, RECORD_BYTES, Registry, Replica, ReplicaRun, Route, RouteTable};
 use tokio::sync::Notify;
 
 use crate::{
-    Options, caller_request::CallerRequest, clock::now, connection::Connection, instruments::Instruments,
-    route_latency::RouteLatency, target::Target, target_set::TargetSet,
+    Options, answer_memory::AnswerMemory, caller_request::CallerRequest, clock::now, connection::Connection,
+    instruments::Instruments, route_latency::RouteLatency, target::Target, target_set::TargetSet,
 };
 
 /// The share of a target's connections that hosts use; the rest is for hosts that come and go.
@@ -29,6 +29,10 @@
 const HOSTS_MIN: usize = 12;
 /// How long a target that broke a connection may take to show that it still runs.
 const CRASH_CHECK_AFTER: Duration = Duration::from_millis(20);
+/// Targets' answers take up one part of so many of the host's memory at most.
+const ANSWERS_MEMORY_SHARE: usize = 4;
+/// Bytes of one target's receipt in an answer, about.
+const RECEIPT_BYTES: usize = 32;
 
 /// A value under a name, in a sorted vector.
 #[derive(Debug)]
@@ -57,6 +61,8 @@
     overloads: Mutex<Vec<Named<Instant>>>,
     budgets: Mutex<Vec<Named<RetryBudget>>>,
     latencies: Mutex<Vec<Named<RouteLatency>>>,
+    return_path: Mutex<ReturnPath>,
+    pub(crate) answer_memory: AnswerMemory,
     /// Runs of targets that said that they leave, until the control thread takes them.
     leaving: Mutex<Vec<ReplicaRun>>,
     has_leaving: Notify,
@@ -65,6 +71,8 @@
 impl Core {
     pub(crate) fn new(options: Options) -> Self {
         Self {
+            answer_memory: AnswerMemory::new(options.memory_bytes / ANSWERS_MEMORY_SHARE),
+            return_path: Mutex::new(ReturnPath::new(options.millicores, options.link_bytes_per_s)),
             options,
             table: ArcSwapOption::default(),
             targets: ArcSwap::default(),
@@ -239,6 +247,24 @@
         std::mem::take(&mut *lock(&self.leaving))
     }
 
+    /// Returns when the answer to a request has to be made, for its caller to have it by the goal.
+    pub(crate) fn answer_at(&self, route: &Route, req: &CallerRequest) -> Instant {
+        let goal = Duration::from_millis(route.goal_ms);
+        let bytes = match &route.backend {
+            Backend::Gather(plan) => plan.shards.len() * RECEIPT_BYTES + plan.top * RECORD_BYTES,
+            Backend::One(_) | Backend::Split(_) => 0,
+        };
+        let way = AnswerWay { is_on_new: req.is_on_new, bytes };
+        req.arrived_at + goal.saturating_sub(lock(&self.return_path).margin(way))
+    }
+
+    /// Notes when an answer was written that had to be made at `due_at`.
+    pub(crate) fn answer_written(&self, due_at: Instant) {
+        let late = now().saturating_duration_since(due_at);
+        lock(&self.return_path).add(late);
+        self.instruments.answer_way(late);
+    }
+
     /// Checks whether a request that lost its connection crashed its target.
     pub(crate) fn suspect(self: &Arc<Self>, target: Arc<Target>, req: &CallerRequest) {
         let core = Arc::clone(self);
--- a/crates/front/src/gather_site.rs
+++ b/crates/front/src/gather_site.rs
@@ -28,6 +28,7 @@
     gather::{run_gather, run_parts},
     gather_call::{GatherCall, GatherReply},
     gather_frames::encode_frame,
+    gather_terms::GatherTerms,
 };
 
 /// Bytes of another host's message, at most: a caller's body and headers fit.
@@ -53,6 +54,7 @@
 }
 
 async fn respond(core: Arc<Core>, req: Request<Incoming>) -> SiteReply {
+    let arrived_at = now();
     if req.uri().path() != GATHER_PATH {
         return plain(StatusCode::NOT_FOUND, "only gathers are served here\n");
     }
@@ -74,9 +76,12 @@
     let (tx, rx) = mpsc::unbounded_channel();
     let task = tokio::spawn(async move {
         if let Some((route, plan)) = find(&table, &call) {
-            let reply = gather(&core, route, plan, &call, req, tx.clone()).await;
+            let answer_at = arrived_at + Duration::from_micros(call.answer_in_us);
+            let terms = GatherTerms { is_repeat: call.is_repeat, answer_at };
+            let reply = gather(&core, route, plan, &call, req, terms, tx.clone()).await;
+            let held_us = now().saturating_duration_since(arrived_at).as_micros() as u64;
             // A sender that is gone needs no reply.
-            let _ = tx.send(reply);
+            let _ = tx.send(GatherReply { held_us, ..reply });
         }
     });
     let replies = stream::unfold((rx, AbortOnDrop(task)), |(mut rx, task)| async move {
@@ -101,6 +106,7 @@
     plan: &GatherPlan,
     call: &GatherCall,
     req: CallerRequest,
+    terms: GatherTerms,
     replies: mpsc::UnboundedSender<GatherReply>,
 ) -> GatherReply {
     if core.suspects().is_poison(now(), req.fingerprint) {
@@ -108,8 +114,8 @@
     }
     let req = Arc::new(req);
     match &call.shards {
-        None => run_gather(core, route, plan, &req, call.is_repeat).await,
-        Some(shards) => run_parts(core, route, plan, &req, shards, call.is_repeat, replies).await,
+        None => run_gather(core, route, plan, &req, terms).await,
+        Some(shards) => run_parts(core, route, plan, &req, shards, terms, replies).await,
     }
 }
 
@@ -135,6 +141,7 @@
         headers,
         body: call.body.clone(),
         arrived_at: now().checked_sub(Duration::from_millis(call.age_ms))?,
+        is_on_new: false,
         deadline: Duration::from_millis(call.deadline_ms),
         fingerprint: fingerprint_of(&uri, &call.body),
         uri,
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -20,7 +20,9 @@
 //! what was weighed.
 
 mod answer;
+mod answer_memory;
 mod beliefs;
+mod bounded_io;
 mod caller_connection;
 mod caller_request;
 mod clock;
@@ -36,6 +38,7 @@
 mod gather_call;
 mod gather_frames;
 mod gather_site;
+mod gather_terms;
 mod gossip;
 mod hand_over;
 mod header_names;
