Remember the tombstones of a whole index, so that hosts get changes only

Cause: a reshard of the large site removes 540 replicas; over 512 tombstones were forgotten, and each host that had not heard yet got the whole registry. Change: 4,096 tombstones. Before and after: a_whole_index_may_leave_without_telling_everything_anew failed with 512.

--- a/crates/routes/src/registry.rs
+++ b/crates/routes/src/registry.rs
@@ -19,8 +19,9 @@
     leaving: LeavingRuns,
 }
 
-/// Entries that are gone and still remembered, at most.
-const TOMBSTONES_MAX: usize = 512;
+/// Entries that are gone and still remembered, at most. A host that lacks a forgotten one gets the
+/// whole registry, so the replicas of a whole index must fit, which leave together.
+const TOMBSTONES_MAX: usize = 4096;
 
 impl Registry {
     /// Returns the revision up to which every change is known.
--- a/crates/routes/tests/registry.rs
+++ b/crates/routes/tests/registry.rs
@@ -1,6 +1,6 @@
 //! Registries that hear of replicas in any order.
 
-use egret_routes::{Registry, RegistryEntry, Replica, ReplicaRun};
+use egret_routes::{Registry, RegistryDelta, RegistryEntry, Replica, ReplicaRun};
 
 fn replica(id: &str, born_ms: u64, report: u64, draining: bool) -> Replica {
     Replica {
@@ -137,3 +137,27 @@
     registry.apply(entry("a", 7, replica("a", 3, 5, false)));
     assert_eq!(registry.usable().count(), 0);
 }
+
+/// An index is cut into other shards: 540 replicas go and 810 others are there. A host that has
+/// not heard of it yet gets the changes, not everything that is known.
+#[test]
+fn a_whole_index_may_leave_without_telling_everything_anew() {
+    let id = |kind: &str, at: u64| format!("{kind}-{at}");
+    let mut ahead = Registry::default();
+    for at in 0..540 {
+        ahead.apply(entry(&id("old", at), at + 1, replica(&id("old", at), 1, 0, false)));
+    }
+    for at in 0..810 {
+        ahead.apply(entry(&id("new", at), at + 1000, replica(&id("new", at), 1, 0, false)));
+    }
+    ahead.set_synced(2000);
+    let mut behind = Registry::default();
+    behind.merge(ahead.delta(0, 0));
+    let gone_entries = (0..540).map(|at| gone(&id("old", at), at + 2001)).collect();
+    ahead.merge(RegistryDelta { synced: 3000, is_whole: false, entries: gone_entries });
+    let delta = ahead.delta(behind.synced(), behind.changed());
+    assert!(!delta.is_whole);
+    assert_eq!(delta.entries.len(), 540);
+    behind.merge(delta);
+    assert_eq!(behind.usable().count(), 810);
+}
