Allow for what answers at their moment take longer than whole ones

The learned time is mostly that of answers whose parts are all in; one that is made at its moment waits for a timer of a millisecond and merges after it. Change: 2 ms more.

--- a/crates/policy/src/return_path.rs
+++ b/crates/policy/src/return_path.rs
@@ -10,6 +10,9 @@
 const WAYS_ON_OPEN: u32 = 2;
 /// Ways of a request whose caller first opened a connection, and of its answer.
 const WAYS_ON_NEW: u32 = 4;
+/// What an answer that is made at its moment takes longer than one whose parts are all in: timers
+/// fire up to a millisecond late, and the parts are merged after that.
+const AT_MOMENT_LAG: Duration = Duration::from_millis(2);
 /// Processor time of passing an answer on, in thousandths of a core times milliseconds.
 const PASS_ON_MILLICORE_MS: u64 = 800;
 /// What a host needs to pass an answer on at least, and at most before anything is known.
@@ -80,6 +83,6 @@
     pub fn margin(&self, way: AnswerWay) -> Duration {
         let ways = if way.is_on_new { WAYS_ON_NEW } else { WAYS_ON_OPEN };
         let transfer = Duration::from_secs_f64(way.bytes as f64 / self.link.max(LINK_MIN)).min(TRANSFER_MAX);
-        CALLER_WAY * ways + transfer + self.pass_on
+        CALLER_WAY * ways + transfer + AT_MOMENT_LAG + self.pass_on
     }
 }
