--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -116,6 +116,8 @@
 
 async fn connect(core: &Arc<Core>, target: &Arc<Target>, terms: ExchangeTerms) -> Option<Connection> {
     loop {
+        // Before the target is looked at, so that its closing in between wakes this exchange.
+        let freed = target.freed.notified();
         if !target.is_open(now()) {
             return None;
         }
@@ -125,7 +127,6 @@
             return Some(connection);
         }
         let limit = core.connections_max(&target.replica.service, terms.top.is_some());
-        let freed = target.freed.notified();
         if target.state().open < limit {
             core.instruments.connection();
             return Connection::open(target).await;
