Log when a target wants no requests from this host

Cause: the belief changes which targets get work, and no line said so; docs/OPERATIONS.md promises one for each. Change: E519 with the target, its service and the time, once until it opens again.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -118,6 +118,8 @@
     GatherersChosen = 516, "gatherers chosen";
     /// A host did not answer.
     HostSuspected = 517, "host suspected";
+    /// A target wants no requests from this host for a while.
+    TargetClosed = 519, "target wants no requests";
     /// The platform dropped the history after the last known revision.
     StoreHistoryLost = 518, "platform history lost";
     /// Settings were read again.
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -6,6 +6,7 @@
 };
 
 use bytes::Bytes;
+use egret_events::{Code, log_decision};
 use egret_policy::ExchangeEnd;
 use egret_routes::TopRecords;
 use http_body_util::{BodyExt, Full};
@@ -244,7 +245,12 @@
     if status == StatusCode::SERVICE_UNAVAILABLE
         && let Some(wanted) = retry_after(headers)
     {
+        let was_open = target.is_open(now());
         target.close(now(), wanted);
+        if was_open {
+            let detail = format!("{} of {} for {wanted:?}", target.replica.id, target.replica.service);
+            log_decision(Code::TargetClosed, "", &detail);
+        }
     }
 }
 
