--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -6,6 +6,7 @@
 };
 
 use bytes::Bytes;
+use egret_events::{Code, log_decision};
 use egret_policy::ExchangeEnd;
 use egret_routes::TopRecords;
 use http_body_util::{BodyExt, Full};
@@ -116,6 +117,8 @@
 
 async fn connect(core: &Arc<Core>, target: &Arc<Target>, terms: ExchangeTerms) -> Option<Connection> {
     loop {
+        // Before the target is looked at, so that its closing in between wakes this exchange.
+        let freed = target.freed.notified();
         if !target.is_open(now()) {
             return None;
         }
@@ -125,7 +128,6 @@
             return Some(connection);
         }
         let limit = core.connections_max(&target.replica.service, terms.top.is_some());
-        let freed = target.freed.notified();
         if target.state().open < limit {
             core.instruments.connection();
             return Connection::open(target).await;
@@ -243,7 +245,12 @@
     if status == StatusCode::SERVICE_UNAVAILABLE
         && let Some(wanted) = retry_after(headers)
     {
+        let was_open = target.is_open(now());
         target.close(now(), wanted);
+        if was_open {
+            let detail = format!("{} of {} for {wanted:?}", target.replica.id, target.replica.service);
+            log_decision(Code::TargetClosed, "", &detail);
+        }
     }
 }
 
