Order what the store tells by epoch and revision

Cause: the registry was ordered by the store's revision alone. After a restore, entries that were written again with lower revisions were ignored, a watch missed changes under revisions that were given out again, and deleted entries stayed. Ruled out: a reset of the registry at each epoch, which empties the table for a moment. Change: StorePosition orders all changes; StoreProgress reads everything at a new epoch and holds what the copy lacks until replicas had time to write again; hosts tell the epoch with what they tell. HistoryGaps and DeletedReports carry what the model test found.

--- a/crates/agent/tests/concurrent_hosts.rs
+++ b/crates/agent/tests/concurrent_hosts.rs
@@ -36,7 +36,7 @@
             }
             let hosts = HostsNews::Whole(HostList { revision, hosts: Vec::new() });
             let state = PeerState { head: None, hosts: Some(hosts), heard_ms_ago: 0 };
-            Ok(Exchange { status: 200, body: encode(&state).into() })
+            Ok(Exchange { status: 200, headers: Default::default(), body: encode(&state).into() })
         })
     }
 }
--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -122,6 +122,10 @@
     TargetClosed = 519, "target wants no requests";
     /// The platform dropped the history after the last known revision.
     StoreHistoryLost = 518, "platform history lost";
+    /// The platform's store came back from a copy.
+    StoreRestored = 520, "store came back from a copy";
+    /// An answer of the store was dropped: it is of an epoch that cannot be the present one.
+    StoreAnswerDropped = 521, "store answer dropped";
     /// Settings were read again.
     SettingsReloaded = 514, "settings read again";
     /// Settings could not be read again; the old ones stay.
@@ -151,6 +155,8 @@
                 | Self::SuspectMarked
                 | Self::AcceptFailed
                 | Self::EntryUnreadable
+                | Self::StoreRestored
+                | Self::StoreAnswerDropped
                 | Self::SettingsRejected
         )
     }
--- a/crates/front/src/beliefs.rs
+++ b/crates/front/src/beliefs.rs
@@ -10,9 +10,13 @@
 use egret_members::{Member, Membership, News};
 use egret_model::Version;
 use egret_policy::{GatherHost, gatherers, readers};
-use egret_routes::{Registry, RegistryEntry, Replica, ReplicaRun, RouteTable};
+use egret_routes::{Registry, Replica, ReplicaRun, RouteTable, StorePosition};
 
-use crate::core::Core;
+use crate::{
+    core::Core,
+    store::StoreRead,
+    store_progress::{StoreProgress, UnusableRead},
+};
 
 /// Without news of the store for this long, a host reads it itself: a reader's watch confirms
 /// each second, and a host asks a reader each one to two seconds.
@@ -40,8 +44,6 @@
     confirmed_at: Option<Instant>,
     /// The hosts that gather, as targets of their data centre.
     gatherers: Vec<Replica>,
-    /// The greatest revision that may be told as complete; a held-back deletion bounds it.
-    complete_before: Option<u64>,
 }
 
 impl Beliefs {
@@ -53,7 +55,6 @@
             table: None,
             confirmed_at: None,
             gatherers: Vec::new(),
-            complete_before: None,
         }
     }
 
@@ -88,9 +89,14 @@
         self.confirmed_at.is_some_and(|at| now.saturating_duration_since(at) > NEWS_OLD_AFTER)
     }
 
-    /// Returns the revision up to which everything is known, where anything is.
-    pub(crate) fn position(&self) -> Option<u64> {
-        Some(self.registry.synced()).filter(|&synced| synced > 0 && self.table.is_some())
+    /// Returns the position up to which everything is known, where anything is complete.
+    pub(crate) fn position(&self) -> Option<StorePosition> {
+        Some(self.registry.synced()).filter(|synced| !synced.is_start() && self.table.is_some())
+    }
+
+    /// Tells whether this host still has to learn what it serves.
+    pub(crate) fn knows_nothing(&self) -> bool {
+        self.table.is_none() || self.registry.synced() == StorePosition::default()
     }
 
     /// Notes that the store answered a call that was sent then.
@@ -110,21 +116,26 @@
         true
     }
 
-    /// Takes changes that the store told; returns whether anything is news.
-    pub(crate) fn take_entries(
+    /// Takes what the store answered to a call that was sent then; returns whether any of it is news.
+    ///
+    /// A configuration that a restored store lists stays out of force where it is older than the
+    /// one in force: the operator writes again what the copy lacks. See docs/DESIGN.md.
+    pub(crate) fn take_read(
         &mut self,
-        entries: Vec<RegistryEntry>,
-        synced: u64,
-        complete_before: Option<u64>,
-    ) -> bool {
-        let mut changed = false;
-        for entry in entries {
-            changed |= self.registry.apply(entry);
+        now: Instant,
+        progress: &mut StoreProgress,
+        sent_at: Instant,
+        mut read: StoreRead,
+    ) -> Result<bool, UnusableRead> {
+        let epoch = self.registry.synced().epoch;
+        let mut is_news = progress.take(now, &mut self.registry, &mut read)?;
+        self.install_replicas(is_news);
+        is_news |= self.registry.synced().epoch > epoch;
+        for table in read.tables {
+            is_news |= self.take_table(Arc::new(table));
         }
-        self.complete_before = complete_before;
-        self.registry.set_synced(complete_before.map_or(synced, |before| before.min(synced)));
-        self.install_replicas(changed);
-        changed
+        self.confirm(sent_at);
+        Ok(is_news)
     }
 
     /// Returns a message that says how far this host has come.
@@ -174,6 +185,8 @@
         news.version > self.version()
             || news.changed > changed
             || news.synced > synced && news.changed > synced
+            || news.synced.epoch > synced.epoch
+            || synced.is_start() && news.synced > synced
     }
 
     /// Takes another host's message; returns whether it changed what traffic goes by.
@@ -196,7 +209,10 @@
         let mut changed = news.table.is_some_and(|table| self.take_table(table));
         changed |= self.take_leaving(news.leaving);
         if let Some(delta) = news.replicas {
+            let was = self.registry.synced();
+            let told = delta.synced;
             let is_news = self.registry.merge(delta);
+            self.log_epoch(was, told);
             self.install_replicas(is_news);
             changed |= is_news;
         }
@@ -229,11 +245,21 @@
         self.table.as_ref().map_or(Version(0), |table| table.version())
     }
 
+    fn log_epoch(&self, was: StorePosition, told: StorePosition) {
+        if !was.may_reach(told.epoch) {
+            let error = UnusableRead::Unbelievable { of: told.epoch, known: was.epoch };
+            log_decision(Code::StoreAnswerDropped, "", &format!("a host's message: {error}"));
+        } else if told.epoch > was.epoch && was.epoch > 0 {
+            let detail = format!("epoch {} after {}, told by a host", told.epoch, was.epoch);
+            log_decision(Code::StoreRestored, "", &detail);
+        }
+    }
+
     fn install_replicas(&self, changed: bool) {
         if changed {
             self.core.set_replicas(&self.registry);
             let usable = self.registry.usable().count();
-            let detail = format!("{usable} replicas at revision {}", self.registry.synced());
+            let detail = format!("{usable} replicas at position {}", self.registry.synced());
             log_decision(Code::ReplicasInForce, "", &detail);
         }
     }
--- a/crates/front/src/gossip.rs
+++ b/crates/front/src/gossip.rs
@@ -79,7 +79,7 @@
                 counted_at = now();
                 parts_per_s = (self.core.take_parts() as f64 / elapsed.as_secs_f64()) as u32;
             }
-            let is_new = lock(&self.beliefs).position().is_none();
+            let is_new = lock(&self.beliefs).knows_nothing();
             if is_new {
                 self.ask_seeds();
             } else if let Some(peer) = self.next_peer(round, parts_per_s) {
--- a/crates/front/src/lapse_guard.rs
+++ b/crates/front/src/lapse_guard.rs
@@ -2,20 +2,28 @@
 
 use std::time::{Duration, Instant};
 
-use egret_routes::RegistryEntry;
+use egret_routes::{RegistryEntry, StorePosition};
 
 /// How long after an outage a vanished entry may come back: two seconds and a margin.
 pub const LAPSE_HOLD: Duration = Duration::from_millis(2300);
 
+/// A deletion that is held back.
+#[derive(Clone, Debug)]
+struct Held {
+    entry: RegistryEntry,
+    /// Up to here everything is known although the deletion is not told.
+    complete_before: StorePosition,
+}
+
 /// Holds back deletions that an outage of the store may have caused.
 ///
-/// Replicas renew their entries; those that could not during an outage come back within
-/// about two seconds, and must not lose their work meanwhile.
+/// Replicas renew their entries; those that could not during an outage, or whose entries a copy
+/// of the store lacks, come back within about two seconds, and must not lose their work meanwhile.
 #[derive(Clone, Debug, Default)]
 pub struct LapseGuard {
     is_out: bool,
     back_at: Option<Instant>,
-    held: Vec<RegistryEntry>,
+    held: Vec<Held>,
 }
 
 impl LapseGuard {
@@ -32,26 +40,59 @@
         }
     }
 
+    /// Notes that the store came back from a copy: what it lacks may be written again.
+    ///
+    /// Deletions of the earlier epoch are of no use; the whole read that tells of the new one finds
+    /// again which of them hold.
+    pub fn restored(&mut self, now: Instant) {
+        self.back_at = Some(now);
+        self.held.clear();
+    }
+
+    fn is_holding(&self, now: Instant) -> bool {
+        self.is_out || self.back_at.is_some_and(|at| now.saturating_duration_since(at) < LAPSE_HOLD)
+    }
+
     /// Takes changes and returns those that hold now, with the deletions that are due.
-    pub fn pass(&mut self, now: Instant, changes: Vec<RegistryEntry>) -> Vec<RegistryEntry> {
-        let is_holding =
-            self.back_at.is_some_and(|at| now.saturating_duration_since(at) < LAPSE_HOLD) || self.is_out;
+    ///
+    /// `complete_before` is up to where everything was known before the changes, where they come
+    /// from a whole read, which does not tell when something was deleted.
+    pub fn pass(
+        &mut self,
+        now: Instant,
+        changes: Vec<RegistryEntry>,
+        complete_before: Option<StorePosition>,
+    ) -> Vec<RegistryEntry> {
+        let is_holding = self.is_holding(now);
         let mut passed = Vec::with_capacity(changes.len());
         for change in changes {
-            self.held.retain(|held| held.id != change.id);
-            if change.gone && is_holding { self.held.push(change) } else { passed.push(change) }
+            let earlier = self.take_held(&change);
+            if change.gone && is_holding {
+                let complete_before = complete_before.unwrap_or(change.position.before());
+                // Others still hold what the first deletion ended.
+                let complete_before = earlier.map_or(complete_before, |held| complete_before.min(held));
+                self.held.push(Held { entry: change, complete_before });
+            } else {
+                passed.push(change);
+            }
         }
         if !is_holding {
-            passed.append(&mut self.held);
+            passed.extend(self.held.drain(..).map(|held| held.entry));
         }
         passed
     }
 
-    /// Returns the revision before the first deletion that is held back.
+    /// Drops a deletion that a change follows; returns up to where everything was known before it.
+    fn take_held(&mut self, change: &RegistryEntry) -> Option<StorePosition> {
+        let at = self.held.iter().position(|held| held.entry.id == change.id)?;
+        Some(self.held.swap_remove(at).complete_before)
+    }
+
+    /// Returns the position before the first deletion that is held back.
     ///
     /// What is told to other hosts must not claim to be complete beyond it.
     #[must_use]
-    pub fn complete_before(&self) -> Option<u64> {
-        self.held.iter().map(|held| held.revision.saturating_sub(1)).min()
+    pub fn complete_before(&self) -> Option<StorePosition> {
+        self.held.iter().map(|held| held.complete_before).min()
     }
 }
--- a/crates/front/src/reader.rs
+++ b/crates/front/src/reader.rs
@@ -7,14 +7,13 @@
 
 use egret_events::{Code, log_decision};
 use egret_policy::pause_after_failure;
-use egret_routes::RegistryEntry;
 
 use crate::{
     clock::now,
     core::lock,
     gossip::Gossip,
-    lapse_guard::LapseGuard,
     store::{Store, StoreError, StoreRead},
+    store_progress::{StoreProgress, UnusableRead},
 };
 
 /// How long a watch waits; its end confirms that nothing changed.
@@ -42,6 +41,18 @@
         if self.failures == 0 {
             log_decision(Code::PlatformUnreachable, "", &error.to_string());
         }
+        self.pause(gossip).await;
+    }
+
+    /// Pauses after an answer that cannot be used: the next one may come from the same copy.
+    async fn unusable(&mut self, error: &UnusableRead, gossip: &Gossip) {
+        if self.failures == 0 {
+            log_decision(Code::StoreAnswerDropped, "", &error.to_string());
+        }
+        self.pause(gossip).await;
+    }
+
+    async fn pause(&mut self, gossip: &Gossip) {
         let is_reader = lock(&gossip.beliefs).is_reader();
         let pause = pause_after_failure(self.failures, gossip.core.known_hosts(), is_reader);
         self.failures += 1;
@@ -69,38 +80,42 @@
 /// Follows configuration and replicas.
 pub(crate) async fn follow(store: Arc<impl Store>, gossip: Gossip) {
     let mut calls = Calls::default();
-    let mut guard = LapseGuard::default();
-    let mut position = None;
+    let mut progress = StoreProgress::default();
     loop {
         if wait_for_duty(&gossip).await {
             // Others read meanwhile, and told what they read.
-            position = lock(&gossip.beliefs).position();
+            progress.resume(lock(&gossip.beliefs).position());
         }
         let sent_at = now();
+        let position = progress.position();
         let read = match position {
-            None => read_all(&*store, &gossip).await,
-            Some(after) => store.watch(after, WATCH_WAIT).await,
+            None => store.read().await,
+            Some(position) => store.watch(position.revision, WATCH_WAIT).await,
         };
         match read {
             Ok(read) => {
-                calls.succeeded();
-                set_reads_store(&gossip, true);
                 gossip.core.instruments.store_call("answered");
-                guard.succeeded(now());
-                position = Some(read.revision);
                 let is_quiet = read.replicas.is_empty();
-                take(&gossip, &mut guard, sent_at, read);
-                if !is_quiet {
-                    tokio::time::sleep(COALESCE).await;
+                match take(&gossip, &mut progress, sent_at, read) {
+                    Ok(()) => {
+                        calls.succeeded();
+                        set_reads_store(&gossip, true);
+                        if !is_quiet {
+                            tokio::time::sleep(COALESCE).await;
+                        }
+                    }
+                    // The store answers; everything is read at once.
+                    Err(UnusableRead::Restored { was, now }) => log_restored(was, now),
+                    Err(error) => calls.unusable(&error, &gossip).await,
                 }
             }
             Err(StoreError::HistoryLost) => {
                 gossip.core.instruments.store_call("history lost");
-                log_decision(Code::StoreHistoryLost, "", &format!("after revision {position:?}"));
-                position = None;
+                log_decision(Code::StoreHistoryLost, "", &format!("after position {position:?}"));
+                progress.history_lost();
             }
             Err(error) => {
-                guard.failed();
+                progress.failed();
                 set_reads_store(&gossip, false);
                 gossip.core.instruments.store_call("failed");
                 calls.failed(&error, &gossip).await;
@@ -109,33 +124,20 @@
     }
 }
 
+fn log_restored(was: u64, now: u64) {
+    let detail = format!("epoch {now} after {was}: everything is read again, nothing is dropped meanwhile");
+    log_decision(Code::StoreRestored, "", &detail);
+}
+
 /// Takes what the store told, and tells other hosts where it is news.
-fn take(gossip: &Gossip, guard: &mut LapseGuard, sent_at: Instant, read: StoreRead) {
-    let passed = guard.pass(now(), read.replicas);
-    let is_news = {
-        let mut beliefs = lock(&gossip.beliefs);
-        beliefs.confirm(sent_at);
-        let mut is_news = beliefs.take_entries(passed, read.revision, guard.complete_before());
-        for table in read.tables {
-            is_news |= beliefs.take_table(Arc::new(table));
-        }
-        is_news
-    };
-    if is_news {
+fn take(
+    gossip: &Gossip,
+    progress: &mut StoreProgress,
+    sent_at: Instant,
+    read: StoreRead,
+) -> Result<(), UnusableRead> {
+    if lock(&gossip.beliefs).take_read(now(), progress, sent_at, read)? {
         gossip.news.notify_one();
     }
-}
-
-/// Reads everything; replicas that are known and no longer listed count as deleted.
-async fn read_all(store: &impl Store, gossip: &Gossip) -> Result<StoreRead, StoreError> {
-    let mut read = store.read().await?;
-    let is_listed = |id: &str| read.replicas.iter().any(|entry| *entry.id == *id);
-    let deletions: Vec<RegistryEntry> = lock(&gossip.beliefs)
-        .registry
-        .present()
-        .filter(|known| known.revision <= read.revision && !is_listed(&known.id))
-        .map(|known| RegistryEntry { revision: read.revision, gone: true, ..known.clone() })
-        .collect();
-    read.replicas.extend(deletions);
-    Ok(read)
+    Ok(())
 }
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -3,7 +3,7 @@
 use std::{future::Future, time::Duration};
 
 use derive_more::{Display, Error};
-use egret_routes::{RegistryEntry, RouteTable};
+use egret_routes::{RegistryEntry, RouteTable, StorePosition};
 
 /// Why the store gave no answer that can be used.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
@@ -34,8 +34,10 @@
 /// What the store holds, or what changed in it.
 #[derive(Clone, Debug, Default)]
 pub struct StoreRead {
-    /// The revision to continue from.
-    pub revision: u64,
+    /// The position to continue from.
+    pub position: StorePosition,
+    /// Whether the entries are all that the store holds.
+    pub is_whole: bool,
     /// Configurations, in order; those that cannot be read are left out.
     pub tables: Vec<RouteTable>,
     /// Replicas' entries, in order.
@@ -46,10 +48,12 @@
 pub trait Store: Send + Sync + 'static {
     /// Reads the newest configuration and all replicas.
     ///
-    /// Every change up to the revision of the answer is in it.
+    /// Every change up to the position of the answer is in it, and all of it is of one epoch.
     fn read(&self) -> impl Future<Output = Result<StoreRead, StoreError>> + Send;
 
-    /// Waits for changes after a revision, at most for `wait`.
+    /// Waits for changes after a revision of the store's present epoch, at most for `wait`.
+    ///
+    /// The answer says which epoch that is; in another one the revision means something else.
     fn watch(&self, after: u64, wait: Duration)
     -> impl Future<Output = Result<StoreRead, StoreError>> + Send;
 }
--- a/crates/front/tests/lapse_guard.rs
+++ b/crates/front/tests/lapse_guard.rs
@@ -3,10 +3,14 @@
 use std::time::Instant;
 
 use egret_front::{LAPSE_HOLD, LapseGuard};
-use egret_routes::RegistryEntry;
+use egret_routes::{RegistryEntry, StorePosition};
+
+fn at(revision: u64) -> StorePosition {
+    StorePosition::new(1, revision)
+}
 
 fn gone(id: &str, revision: u64) -> RegistryEntry {
-    RegistryEntry { id: id.into(), revision, replica: None, gone: true }
+    RegistryEntry { id: id.into(), position: at(revision), replica: None, gone: true }
 }
 
 #[test]
@@ -14,7 +18,7 @@
     let now = Instant::now();
     let mut guard = LapseGuard::default();
     guard.succeeded(now);
-    assert_eq!(guard.pass(now, vec![gone("a", 1)]).len(), 1);
+    assert_eq!(guard.pass(now, vec![gone("a", 1)], None).len(), 1);
     assert_eq!(guard.complete_before(), None);
 }
 
@@ -24,10 +28,10 @@
     let mut guard = LapseGuard::default();
     guard.failed();
     guard.succeeded(now);
-    assert!(guard.pass(now, vec![gone("a", 7), gone("b", 9)]).is_empty());
-    assert_eq!(guard.complete_before(), Some(6));
+    assert!(guard.pass(now, vec![gone("a", 7), gone("b", 9)], None).is_empty());
+    assert_eq!(guard.complete_before(), Some(at(6)));
     let back = RegistryEntry { gone: false, ..gone("a", 11) };
-    assert_eq!(guard.pass(now + LAPSE_HOLD / 2, vec![back.clone()]), [back]);
-    assert_eq!(guard.pass(now + LAPSE_HOLD, Vec::new()), [gone("b", 9)]);
+    assert_eq!(guard.pass(now + LAPSE_HOLD / 2, vec![back.clone()], None), [back]);
+    assert_eq!(guard.pass(now + LAPSE_HOLD, Vec::new(), None), [gone("b", 9)]);
     assert_eq!(guard.complete_before(), None);
 }
--- /dev/null
+++ b/crates/front/tests/restored_store.rs
@@ -0,0 +1,344 @@
+//! Hosts that read a store, tell each other, and lose messages, while the store comes back from
+//! copies: in the end all know what the store holds.
+
+use std::time::{Duration, Instant};
+
+use egret_front::{LAPSE_HOLD, StoreProgress, StoreRead, UnusableRead};
+use egret_routes::{Registry, RegistryEntry, Replica, StorePosition};
+use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
+
+const HOSTS: usize = 3;
+const REPLICAS: usize = 4;
+const EPOCHS_MAX: u64 = 3;
+
+/// One step of a run.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// A replica writes its entry; one that leaves is listed no more.
+    Write(usize),
+    Delete(usize),
+    /// The store is copied, or comes back from the copy.
+    Copy,
+    Restore,
+    /// A host reads or continues its watch; the answer may be of before the last restore.
+    Read(usize),
+    ReadOld(usize),
+    /// A host forgets everything and starts again.
+    Start(usize),
+    /// The first host asks the second one; an answer may be lost.
+    Ask(usize, usize),
+    /// Time passes, in tenths of the time for which deletions are held back.
+    Pass(u32),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let (host, other) = (usize::arbitrary(g) % HOSTS, usize::arbitrary(g) % HOSTS);
+        let replica = usize::arbitrary(g) % REPLICAS;
+        match u8::arbitrary(g) % 14 {
+            0..=2 => Self::Write(replica),
+            3 => Self::Delete(replica),
+            4 => Self::Copy,
+            5 => Self::Restore,
+            6..=8 => Self::Read(host),
+            9 => Self::ReadOld(host),
+            10 => Self::Start(host),
+            11 | 12 => Self::Ask(host, other),
+            _ => Self::Pass(u32::arbitrary(g) % 8),
+        }
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Listing {
+    revision: u64,
+    /// All changes, in order.
+    changes: Vec<RegistryEntry>,
+}
+
+impl Listing {
+    fn listed(&self) -> Vec<RegistryEntry> {
+        let is_last = |at: usize| !self.changes[at + 1..].iter().any(|later| later.id == self.changes[at].id);
+        let last = self.changes.iter().enumerate().filter(|(at, entry)| is_last(*at) && !entry.gone);
+        last.map(|(_, entry)| entry.clone()).collect()
+    }
+
+    fn is_listed(&self, replica: usize) -> bool {
+        self.listed().iter().any(|entry| *entry.id == *id(replica))
+    }
+}
+
+#[derive(Debug)]
+struct World {
+    now: Instant,
+    epoch: u64,
+    store: Listing,
+    copy: Listing,
+    /// The store as it was before the last restore, and its epoch.
+    before: Option<(u64, Listing)>,
+    /// Reports of each replica, which go on over restores.
+    reports: u64,
+    /// What was ever written: identifier and report.
+    written: Vec<(String, u64)>,
+    hosts: Vec<(Registry, StoreProgress)>,
+}
+
+fn id(replica: usize) -> String {
+    format!("i-{replica}")
+}
+
+impl World {
+    fn new() -> Self {
+        let mut world = Self {
+            now: Instant::now(),
+            epoch: 1,
+            store: Listing::default(),
+            copy: Listing::default(),
+            before: None,
+            reports: 0,
+            written: Vec::new(),
+            hosts: (0..HOSTS).map(|_| Default::default()).collect(),
+        };
+        (0..REPLICAS).for_each(|replica| world.write(replica));
+        world.copy = world.store.clone();
+        world
+    }
+
+    fn write(&mut self, replica: usize) {
+        self.reports += 1;
+        self.store.revision += 1;
+        self.written.push((id(replica), self.reports));
+        let position = StorePosition::new(self.epoch, self.store.revision);
+        let value = Replica {
+            id: id(replica).into(),
+            service: "vault".into(),
+            address: "10.0.0.1:80".parse().unwrap(),
+            data_centre: "seeb".into(),
+            slots: 2,
+            draining: false,
+            cold_ms: 0,
+            born_ms: 1,
+            report: self.reports,
+        };
+        let id = value.id.clone();
+        self.store.changes.push(RegistryEntry { id, position, replica: Some(value), gone: false });
+    }
+
+    fn delete(&mut self, replica: usize) {
+        if !self.store.is_listed(replica) {
+            return;
+        }
+        self.store.revision += 1;
+        let position = StorePosition::new(self.epoch, self.store.revision);
+        let id = id(replica).into();
+        self.store.changes.push(RegistryEntry { id, position, replica: None, gone: true });
+    }
+
+    fn restore(&mut self) {
+        if self.epoch < EPOCHS_MAX {
+            self.before = Some((self.epoch, std::mem::replace(&mut self.store, self.copy.clone())));
+            self.epoch += 1;
+        }
+    }
+
+    fn read(&mut self, host: usize, epoch: u64, listing: &Listing) -> Result<bool, UnusableRead> {
+        let (registry, progress) = &mut self.hosts[host];
+        let whole = || StoreRead { is_whole: true, replicas: listing.listed(), ..StoreRead::default() };
+        let mut read = match progress.position() {
+            None => whole(),
+            Some(after) => {
+                let is_new = |entry: &&RegistryEntry| entry.position.revision > after.revision;
+                let replicas = listing.changes.iter().filter(is_new).cloned().collect();
+                StoreRead { replicas, ..StoreRead::default() }
+            }
+        };
+        for entry in &mut read.replicas {
+            entry.position.epoch = epoch;
+        }
+        read.position = StorePosition::new(epoch, listing.revision);
+        progress.take(self.now, registry, &mut read)
+    }
+
+    fn read_now(&mut self, host: usize) {
+        let listing = self.store.clone();
+        // An answer of another epoch changes nothing, and leads to a whole read.
+        let _ = self.read(host, self.epoch, &listing);
+    }
+
+    fn ask(&mut self, asker: usize, told: usize) {
+        let (synced, changed) = (self.hosts[asker].0.synced(), self.hosts[asker].0.changed());
+        if asker != told && self.hosts[told].0.is_ahead_of(synced, changed) {
+            let delta = self.hosts[told].0.delta(synced, changed);
+            self.hosts[asker].0.merge(delta);
+        }
+    }
+
+    fn play(&mut self, step: Step) {
+        match step {
+            Step::Write(replica) => self.write(replica),
+            Step::Delete(replica) => self.delete(replica),
+            Step::Copy => self.copy = self.store.clone(),
+            Step::Restore => self.restore(),
+            Step::Read(host) => self.read_now(host),
+            Step::ReadOld(host) => {
+                if let Some((epoch, listing)) = self.before.clone() {
+                    let _ = self.read(host, epoch, &listing);
+                }
+            }
+            Step::Start(host) => self.hosts[host] = Default::default(),
+            Step::Ask(asker, told) => self.ask(asker, told),
+            Step::Pass(tenths) => self.now += LAPSE_HOLD / 10 * tenths,
+        }
+    }
+
+    fn usable(&self, host: usize) -> Vec<(String, u64)> {
+        let usable = self.hosts[host].0.usable();
+        usable.map(|replica| (replica.id.to_string(), replica.report)).collect()
+    }
+}
+
+/// Replicas that live write again after the last restore; then all read or ask.
+fn converges(steps: Vec<Step>, reader: usize) -> TestResult {
+    let mut world = World::new();
+    for step in steps {
+        world.play(step);
+        for host in 0..HOSTS {
+            if let Some(unheard) = world.usable(host).iter().find(|used| !world.written.contains(used)) {
+                return TestResult::error(format!("host {host} uses {unheard:?}"));
+            }
+        }
+    }
+    let listed: Vec<usize> = (0..REPLICAS).filter(|&replica| world.store.is_listed(replica)).collect();
+    listed.into_iter().for_each(|replica| world.write(replica));
+    let reader = reader % HOSTS;
+    for _ in 0..4 {
+        world.read_now(reader);
+        world.now += LAPSE_HOLD + Duration::from_millis(1);
+    }
+    (0..HOSTS).for_each(|asker| world.ask(asker, reader));
+    let mut held: Vec<(String, u64)> = world
+        .store
+        .listed()
+        .iter()
+        .filter_map(|entry| Some((entry.id.to_string(), entry.replica.as_ref()?.report)))
+        .collect();
+    held.sort();
+    for host in 0..HOSTS {
+        if world.usable(host) != held {
+            let detail = format!("host {host} uses {:?}, the store lists {held:?}", world.usable(host));
+            return TestResult::error(detail);
+        }
+    }
+    TestResult::passed()
+}
+
+/// Steps after which hosts once disagreed, and why.
+#[test]
+fn runs_that_once_left_hosts_apart_converge() {
+    use Step::{Ask, Delete, Read, ReadOld, Restore, Start, Write};
+    let runs: [(&str, &[Step], usize); 9] = [
+        (
+            "a change of which a third host missed the history",
+            &[
+                Delete(1),
+                Step::Copy,
+                Restore,
+                Read(0),
+                Ask(1, 0),
+                ReadOld(0),
+                Write(1),
+                Read(2),
+                Delete(2),
+                Delete(1),
+                Read(0),
+                Ask(1, 0),
+            ],
+            1,
+        ),
+        ("a deletion before a host's first read", &[Read(2), Delete(0)], 0),
+        ("an entry told by a host that missed its deletion", &[Read(1), Delete(3), Read(0), Ask(0, 1)], 0),
+        (
+            "a tombstone of an ended epoch in a whole delta",
+            &[Read(2), Delete(0), Ask(0, 2), Step::Copy, Restore, ReadOld(2), Read(0)],
+            2,
+        ),
+        (
+            "an entry that only the copy lists",
+            &[Read(2), Delete(2), Restore, ReadOld(0), Read(1), Ask(2, 0), Delete(2), Ask(2, 1)],
+            2,
+        ),
+        (
+            "an entry told while a deletion is held back",
+            &[
+                Delete(3),
+                Read(0),
+                Ask(1, 0),
+                Start(0),
+                Restore,
+                Read(0),
+                Delete(3),
+                Delete(1),
+                Read(1),
+                Ask(1, 0),
+            ],
+            1,
+        ),
+        (
+            "an entry of the present epoch over a tombstone of an ended one",
+            &[Read(0), Delete(0), Restore, ReadOld(0), Read(2), Read(0), Delete(0), Read(0), Ask(0, 2)],
+            0,
+        ),
+        (
+            "a whole read that changes nothing",
+            &[Read(1), Ask(0, 1), Delete(3), Read(2), Restore, Read(0), Delete(3)],
+            2,
+        ),
+        (
+            "a watch behind what others told",
+            &[
+                Restore,
+                ReadOld(1),
+                Delete(1),
+                Read(0),
+                Read(1),
+                Read(1),
+                Delete(0),
+                Write(1),
+                Ask(1, 0),
+                Delete(1),
+                ReadOld(0),
+                Read(0),
+                Ask(1, 0),
+                Read(1),
+            ],
+            0,
+        ),
+    ];
+    for (why, steps, reader) in runs {
+        assert!(!converges(steps.to_vec(), reader).is_failure(), "{why}");
+    }
+}
+
+/// Seeds of CI; the variable `EGRET_MODEL_SEEDS`, as `A..B`, plays others.
+const SEEDS: std::ops::Range<u64> = 0..3;
+/// Steps of a run, at most.
+const STEPS_MAX: usize = 60;
+
+#[test]
+fn all_hosts_end_with_what_the_store_holds() {
+    let seeds = match std::env::var("EGRET_MODEL_SEEDS") {
+        Ok(text) => {
+            let (first, end) = text.split_once("..").expect("EGRET_MODEL_SEEDS has the form A..B");
+            first.parse().unwrap()..end.parse().unwrap()
+        }
+        Err(_) => SEEDS,
+    };
+    for seed in seeds {
+        let check = converges as fn(Vec<Step>, usize) -> TestResult;
+        QuickCheck::new()
+            .rng(Gen::from_size_and_seed(STEPS_MAX, seed))
+            .tests(10_000)
+            .max_tests(10_000)
+            .quickcheck(check);
+    }
+}
--- a/crates/members/src/news.rs
+++ b/crates/members/src/news.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use egret_model::{Mark, Version, record};
-use egret_routes::{RegistryDelta, ReplicaRun, RouteTable};
+use egret_routes::{RegistryDelta, ReplicaRun, RouteTable, StorePosition};
 
 use crate::Member;
 
@@ -20,10 +20,10 @@
         pub members: Vec<Member>,
         /// The sender's configuration; version 0 where it has none.
         pub version: Version,
-        /// The store's revision up to which the sender knows every replica's changes.
-        pub synced: u64,
-        /// The revision of the last change of a replica that the sender knows.
-        pub changed: u64,
+        /// The position in the store up to which the sender knows every replica's changes.
+        pub synced: StorePosition,
+        /// The position of the last change of a replica that the sender knows.
+        pub changed: StorePosition,
         /// Milliseconds since the store last answered a host that told the sender.
         pub store_age_ms: Option<u64>,
         /// Requests that broke targets.
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -4,7 +4,10 @@
 
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
-use reqwest::{Method, header::CONTENT_TYPE};
+use reqwest::{
+    Method,
+    header::{CONTENT_TYPE, HeaderMap},
+};
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{Call, Carrier};
@@ -57,6 +60,8 @@
 pub struct Exchange {
     /// The HTTP status.
     pub status: u16,
+    /// The headers.
+    pub headers: HeaderMap,
     /// The body, whole.
     pub body: Bytes,
 }
@@ -239,6 +244,7 @@
     let answer = async {
         let mut response = request.send().await?;
         let status = response.status().as_u16();
+        let headers = std::mem::take(response.headers_mut());
         let mut body = BytesMut::new();
         while let Some(data) = response.chunk().await? {
             if body.len() + data.len() > bytes_max {
@@ -246,7 +252,7 @@
             }
             body.extend_from_slice(&data);
         }
-        Ok::<_, reqwest::Error>(Some(Exchange { status, body: body.freeze() }))
+        Ok::<_, reqwest::Error>(Some(Exchange { status, headers, body: body.freeze() }))
     };
     match answer.await {
         Ok(Some(exchange)) => Ok(exchange),
--- a/crates/proofs/src/inside/route.rs
+++ b/crates/proofs/src/inside/route.rs
@@ -22,7 +22,7 @@
         let site = Arc::clone(&site);
         Box::pin(async move {
             let reply = site.respond(call).await;
-            Some(Exchange { status: reply.status, body: reply.body })
+            Some(Exchange { status: reply.status, headers: Default::default(), body: reply.body })
         })
     })
 }
--- a/crates/proofs/src/inside/world.rs
+++ b/crates/proofs/src/inside/world.rs
@@ -287,7 +287,7 @@
         let target = answering.clone();
         Box::pin(async move {
             let (status, body) = target.answer(&call.path, &call.body).await?;
-            Some(Exchange { status, body: Bytes::from(body) })
+            Some(Exchange { status, headers: Default::default(), body: Bytes::from(body) })
         })
     });
     let place = Place::new(None, Some(data_centre));
--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -24,14 +24,16 @@
 //! assert_eq!(&*table.find("wells.example", "/logs").unwrap().name, "all");
 //! ```
 //!
-//! - [`Registry`]: the replicas that registered themselves, with the store's revisions.
+//! - [`Registry`]: the replicas that registered themselves, with the [`StorePosition`] of each change.
 //! - [`TopRecords`], [`greatest`]: the merge of the parts of a gather.
 //!
 //! docs/PLATFORM.md says how both reach every host.
 
 mod backend;
 mod caller_limits;
+mod deleted_reports;
 mod gather_plan;
+mod history_gaps;
 mod leaving_runs;
 mod merge;
 mod registry;
@@ -41,6 +43,7 @@
 mod replica_run;
 mod route;
 mod service;
+mod store_position;
 mod table;
 mod top_records;
 mod weighted;
@@ -56,6 +59,7 @@
 pub use replica_run::ReplicaRun;
 pub use route::Route;
 pub use service::Service;
+pub use store_position::StorePosition;
 pub use table::RouteTable;
 pub use top_records::TopRecords;
 pub use weighted::Weighted;
--- a/crates/routes/src/registry_entry.rs
+++ b/crates/routes/src/registry_entry.rs
@@ -4,7 +4,7 @@
 
 use egret_model::record;
 
-use crate::Replica;
+use crate::{Replica, StorePosition};
 
 record! {
     /// What the store last held under a replica's identifier.
@@ -12,8 +12,8 @@
     pub struct RegistryEntry {
         /// The identifier.
         pub id: Arc<str>,
-        /// The store's revision of the change.
-        pub revision: u64,
+        /// Where the change stands in the store's history.
+        pub position: StorePosition,
         /// The replica; `None` where the entry cannot be read or never named one.
         pub replica: Option<Replica>,
         /// Whether the entry is gone.
--- a/crates/routes/tests/registry.rs
+++ b/crates/routes/tests/registry.rs
@@ -1,6 +1,6 @@
 //! Registries that hear of replicas in any order.
 
-use egret_routes::{Registry, RegistryDelta, RegistryEntry, Replica, ReplicaRun};
+use egret_routes::{Registry, RegistryDelta, RegistryEntry, Replica, ReplicaRun, StorePosition};
 
 fn replica(id: &str, born_ms: u64, report: u64, draining: bool) -> Replica {
     Replica {
@@ -16,12 +16,17 @@
     }
 }
 
+/// Returns a position of the only epoch of these tests.
+fn at(revision: u64) -> StorePosition {
+    StorePosition::new(1, revision)
+}
+
 fn entry(id: &str, revision: u64, replica: Replica) -> RegistryEntry {
-    RegistryEntry { id: id.into(), revision, replica: Some(replica), gone: false }
+    RegistryEntry { id: id.into(), position: at(revision), replica: Some(replica), gone: false }
 }
 
 fn gone(id: &str, revision: u64) -> RegistryEntry {
-    RegistryEntry { id: id.into(), revision, replica: None, gone: true }
+    RegistryEntry { id: id.into(), position: at(revision), replica: None, gone: true }
 }
 
 #[test]
@@ -57,16 +62,16 @@
     let mut ahead = Registry::default();
     ahead.apply(entry("a", 1, replica("a", 1, 0, false)));
     ahead.apply(entry("b", 2, replica("b", 1, 0, false)));
-    ahead.set_synced(2);
+    ahead.set_synced(at(2));
     let mut behind = Registry::default();
     assert!(behind.merge(ahead.delta(behind.synced(), behind.changed())));
     ahead.apply(gone("a", 3));
-    ahead.set_synced(3);
+    ahead.set_synced(at(3));
     let delta = ahead.delta(behind.synced(), behind.changed());
     assert_eq!(delta.entries.len(), 1);
     assert!(behind.merge(delta));
     let left: Vec<_> = behind.usable().map(|replica| replica.id.to_string()).collect();
-    assert_eq!((left, behind.synced()), (vec!["b".to_owned()], 3));
+    assert_eq!((left, behind.synced()), (vec!["b".to_owned()], at(3)));
 }
 
 #[test]
@@ -74,11 +79,11 @@
     let mut behind = Registry::default();
     behind.apply(entry("a", 1, replica("a", 1, 0, false)));
     behind.apply(entry("c", 9, replica("c", 1, 0, false)));
-    behind.set_synced(1);
+    behind.set_synced(at(1));
     let mut ahead = Registry::default();
     ahead.apply(entry("b", 4, replica("b", 1, 0, false)));
-    ahead.set_synced(5);
-    behind.merge(ahead.delta(0, 0));
+    ahead.set_synced(at(5));
+    behind.merge(ahead.delta(StorePosition::default(), StorePosition::default()));
     let left: Vec<_> = behind.usable().map(|replica| replica.id.to_string()).collect();
     assert_eq!(left, ["b", "c"]);
 }
@@ -91,9 +96,9 @@
     for number in 1..=20 {
         ahead.apply(entry(&format!("r{number}"), number, replica("r", 1, 0, false)));
     }
-    ahead.set_synced(4);
+    ahead.set_synced(at(4));
     let mut behind = Registry::default();
-    behind.merge(ahead.delta(0, 0));
+    behind.merge(ahead.delta(StorePosition::default(), StorePosition::default()));
     assert!(!ahead.is_ahead_of(behind.synced(), behind.changed()));
     ahead.apply(entry("r21", 21, replica("r", 1, 0, false)));
     assert!(ahead.is_ahead_of(behind.synced(), behind.changed()));
@@ -102,12 +107,12 @@
     behind.merge(delta);
     // The deletion at revision 5 is no longer held back.
     ahead.apply(gone("r3", 5));
-    ahead.set_synced(21);
+    ahead.set_synced(at(21));
     assert!(ahead.is_ahead_of(behind.synced(), behind.changed()));
     let delta = ahead.delta(behind.synced(), behind.changed());
     assert_eq!(delta.entries.len(), 1);
     behind.merge(delta);
-    assert_eq!((behind.usable().count(), behind.synced()), (20, 21));
+    assert_eq!((behind.usable().count(), behind.synced()), (20, at(21)));
 }
 
 fn run(id: &str, born_ms: u64) -> ReplicaRun {
@@ -142,19 +147,19 @@
 /// not heard of it yet gets the changes, not everything that is known.
 #[test]
 fn a_whole_index_may_leave_without_telling_everything_anew() {
-    let id = |kind: &str, at: u64| format!("{kind}-{at}");
+    let id = |kind: &str, number: u64| format!("{kind}-{number}");
     let mut ahead = Registry::default();
-    for at in 0..540 {
-        ahead.apply(entry(&id("old", at), at + 1, replica(&id("old", at), 1, 0, false)));
+    for number in 0..540 {
+        ahead.apply(entry(&id("old", number), number + 1, replica(&id("old", number), 1, 0, false)));
     }
-    for at in 0..810 {
-        ahead.apply(entry(&id("new", at), at + 1000, replica(&id("new", at), 1, 0, false)));
+    for number in 0..810 {
+        ahead.apply(entry(&id("new", number), number + 1000, replica(&id("new", number), 1, 0, false)));
     }
-    ahead.set_synced(2000);
+    ahead.set_synced(at(2000));
     let mut behind = Registry::default();
-    behind.merge(ahead.delta(0, 0));
-    let gone_entries = (0..540).map(|at| gone(&id("old", at), at + 2001)).collect();
-    ahead.merge(RegistryDelta { synced: 3000, is_whole: false, entries: gone_entries });
+    behind.merge(ahead.delta(StorePosition::default(), StorePosition::default()));
+    let gone_entries = (0..540).map(|number| gone(&id("old", number), number + 2001)).collect();
+    ahead.merge(RegistryDelta { synced: at(3000), is_whole: false, has_gap: false, entries: gone_entries });
     let delta = ahead.delta(behind.synced(), behind.changed());
     assert!(!delta.is_whole);
     assert_eq!(delta.entries.len(), 540);
