Take what is not known of a target to be like its quickest neighbour

A test that makes one target quick shows it each time. Ruled out: late news of the store: forty runs beside twelve busy loops were green, and the new test fails with the entry known for 1.5 s. Change: pick() compares targets with what is unknown taken from the quickest one. Before: a_new_run_gets_work_beside_a_target_that_became_quick failed; after: it passes.

--- a/crates/front/src/target.rs
+++ b/crates/front/src/target.rs
@@ -80,8 +80,21 @@
 
     /// Returns the expected time of one more request, in usual latencies.
     pub(crate) fn cost(&self, now: Instant) -> f64 {
-        let cold = if self.replica.cold_ms > 0 { COLD_SLOWNESS } else { 1.0 };
-        self.state().load.cost(now) * cold
+        self.state().load.cost(now) * self.cold_factor()
+    }
+
+    /// Returns the cost where what is not known of the target is taken to be like another one.
+    pub(crate) fn cost_beside(&self, now: Instant, slowness: f64) -> f64 {
+        self.state().load.cost_beside(now, slowness) * self.cold_factor()
+    }
+
+    /// Returns how many times as long as usual the target seems to take, apart from its queue.
+    pub(crate) fn slowness(&self, now: Instant) -> f64 {
+        self.state().load.slowness_at(now)
+    }
+
+    fn cold_factor(&self) -> f64 {
+        if self.replica.cold_ms > 0 { COLD_SLOWNESS } else { 1.0 }
     }
 
     pub(crate) fn has_room(&self, now: Instant) -> bool {
--- a/crates/front/src/target_set.rs
+++ b/crates/front/src/target_set.rs
@@ -173,10 +173,11 @@
     ) -> Option<Arc<Target>> {
         let all = services.iter().flat_map(|service| self.targets_of(service));
         let untried = all.filter(|target| target.is_open(now) && !tried.contains(&target.replica.id));
+        let quickest = untried.clone().map(|target| target.slowness(now)).fold(1.0, f64::min);
         let rank = |target: &Arc<Target>| {
             let distance = if target.is_local { 1.0 } else { REMOTE_FACTOR };
             let jitter = 1.0 + JITTER * fastrand::f64();
-            (target.is_avoided(now), target.cost(now) * distance * jitter)
+            (target.is_avoided(now), target.cost_beside(now, quickest) * distance * jitter)
         };
         untried
             .map(|target| (rank(target), target))
--- a/crates/policy/src/target_load.rs
+++ b/crates/policy/src/target_load.rs
@@ -19,6 +19,8 @@
 
 /// The weight of a new sample in the moving slowness.
 const SAMPLE_WEIGHT: f64 = 0.3;
+/// The slowness of a target that nothing is known of, where nothing is known of others either.
+const UNKNOWN_SLOWNESS: f64 = 1.0;
 /// After this time without a sample, two thirds of an old slowness are forgotten.
 const SLOWNESS_LASTS: Duration = Duration::from_secs(2);
 /// After this time, two thirds of a load report are forgotten; other hosts' work changes quickly.
@@ -78,7 +80,7 @@
     pub fn new(slots: u32) -> Self {
         Self {
             slots: f64::from(slots.max(1)),
-            slowness: 1.0,
+            slowness: UNKNOWN_SLOWNESS,
             sampled_at: None,
             begun: Vec::new(),
             reported: 0.0,
@@ -161,7 +163,16 @@
     /// Returns how long one more request is likely to take, in usual latencies.
     #[must_use]
     pub fn cost(&self, now: Instant) -> f64 {
-        self.slowness_at(now) * self.queue_factor(now) * self.reopen_factor(now)
+        self.cost_beside(now, UNKNOWN_SLOWNESS)
+    }
+
+    /// Returns the cost where what is not known of this target is taken to be like another one.
+    ///
+    /// Answers the load of a calm service with a new replica: beside one that has become quicker
+    /// than usual, a target without samples would get no work, and never a sample.
+    #[must_use]
+    pub fn cost_beside(&self, now: Instant, slowness: f64) -> f64 {
+        self.slowness_beside(now, slowness) * self.queue_factor(now) * self.reopen_factor(now)
     }
 
     fn reopen_factor(&self, now: Instant) -> f64 {
@@ -190,8 +201,12 @@
     /// Returns how many times as long as usual the target takes.
     #[must_use]
     pub fn slowness_at(&self, now: Instant) -> f64 {
+        self.slowness_beside(now, UNKNOWN_SLOWNESS)
+    }
+
+    fn slowness_beside(&self, now: Instant, unknown: f64) -> f64 {
         let kept = faded(now, self.sampled_at, SLOWNESS_LASTS);
-        let remembered = 1.0 + (self.slowness - 1.0) * kept;
+        let remembered = unknown + (self.slowness - unknown) * kept;
         let age = |begun: &Begun| ratio(now.saturating_duration_since(begun.at), begun.usual) / begun.share;
         let oldest = self.begun.iter().map(age).fold(0.0, f64::max);
         if oldest > OVERDUE_FACTOR { remembered.max(oldest) } else { remembered }
