Read the store early at a start, and learn callers' ways from the budgets they state

Cause: after a loss of power every host waited 450 ms for seeds, of which the only live one started last; the first configuration was in force 404 ms after the start. A host whose seeds are silent now reads after 40 to 120 ms, and reads configuration and replicas at once. Ruled out: the kernel's round-trip time (no safe library for it), closes (callers keep connections).

--- a/crates/front/src/beliefs.rs
+++ b/crates/front/src/beliefs.rs
@@ -24,9 +24,11 @@
 /// News of the store older than this make a host ask a reader out of turn, which costs the store
 /// nothing: half of the time that is left before it would have to read.
 const NEWS_OLD_AFTER: Duration = Duration::from_millis(1500);
-/// How long a host that just started waits for others' news before it reads the store. Only
-/// seeds read at once: all others ask them, also where the whole fleet starts.
-const INTRODUCTION: Duration = Duration::from_millis(450);
+/// How long a host that just started waits for others' news before it reads the store, at least
+/// and at most. A fleet that serves tells within a few exchanges. Where a whole fleet starts, the
+/// first readers tell others, and seeds may be the last to start.
+const INTRODUCTION_MIN: Duration = Duration::from_millis(40);
+const INTRODUCTION_MAX: Duration = Duration::from_millis(120);
 /// Processor time that one gather at a time takes up while it runs, for comparing gatherers.
 const GATHER_MILLICORES: u32 = 40;
 /// Marks that one message carries.
@@ -44,6 +46,8 @@
     confirmed_at: Option<Instant>,
     /// The hosts that gather, as targets of their data centre.
     gatherers: Vec<Replica>,
+    /// How long this host waits for others' news before it reads the store itself.
+    introduction: Duration,
 }
 
 impl Beliefs {
@@ -55,6 +59,7 @@
             table: None,
             confirmed_at: None,
             gatherers: Vec::new(),
+            introduction: draw_introduction(),
         }
     }
 
@@ -64,11 +69,11 @@
             Some(at) => now.saturating_duration_since(at),
             None => self.membership.age(now),
         };
-        if self.confirmed_at.is_none() && age < INTRODUCTION {
+        if self.confirmed_at.is_none() && age < self.introduction {
             let own = self.membership.own().address;
             return self.core.options.seeds.contains(&own);
         }
-        age > STORE_AGE_MAX || self.is_reader()
+        self.confirmed_at.is_none() || age > STORE_AGE_MAX || self.is_reader()
     }
 
     /// Returns the hosts that read the store for all.
@@ -265,6 +270,11 @@
     }
 }
 
+/// Draws a time, so that hosts that start together do not all read.
+fn draw_introduction() -> Duration {
+    INTRODUCTION_MIN + (INTRODUCTION_MAX - INTRODUCTION_MIN).mul_f64(fastrand::f64())
+}
+
 fn gather_host(member: &Member) -> GatherHost {
     GatherHost {
         address: member.address,
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -10,7 +10,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use egret_events::{Code, log_decision};
-use egret_policy::{AnswerWay, RetryBudget, ReturnPath, Suspects};
+use egret_policy::{AnswerWay, RetryBudget, ReturnPath, StatedBudgets, Suspects};
 use egret_routes::{Backend, RECORD_BYTES, Registry, Replica, ReplicaRun, Route, RouteTable};
 use tokio::sync::Notify;
 
@@ -31,6 +31,8 @@
 const CRASH_CHECK_AFTER: Duration = Duration::from_millis(20);
 /// Targets' answers take up one part of so many of the host's memory at most.
 const ANSWERS_MEMORY_SHARE: usize = 4;
+/// A caller that spent more of its goal than this before its request came is late anyway.
+const SPENT_GOAL_SHARE_MAX: f64 = 0.5;
 /// Bytes of one target's receipt in an answer, about.
 const RECEIPT_BYTES: usize = 32;
 
@@ -62,6 +64,8 @@
     budgets: Mutex<Vec<Named<RetryBudget>>>,
     latencies: Mutex<Vec<Named<RouteLatency>>>,
     return_path: Mutex<ReturnPath>,
+    /// What callers state of their time, by route.
+    stated: Mutex<Vec<Named<StatedBudgets>>>,
     pub(crate) answer_memory: AnswerMemory,
     /// Runs of targets that said that they leave, until the control thread takes them.
     leaving: Mutex<Vec<ReplicaRun>>,
@@ -88,6 +92,7 @@
             overloads: Mutex::default(),
             budgets: Mutex::default(),
             latencies: Mutex::default(),
+            stated: Mutex::default(),
             leaving: Mutex::default(),
             has_leaving: Notify::new(),
         }
@@ -254,8 +259,24 @@
             Backend::Gather(plan) => plan.shards.len() * RECEIPT_BYTES + plan.top * RECORD_BYTES,
             Backend::One(_) | Backend::Split(_) => 0,
         };
-        let way = AnswerWay { is_on_new: req.is_on_new, bytes };
-        req.arrived_at + goal.saturating_sub(lock(&self.return_path).margin(way))
+        let spent = self.spent_before(route, req);
+        let mut return_path = lock(&self.return_path);
+        spent.into_iter().for_each(|spent| return_path.opened(spent));
+        // One that cannot have its answer by the goal any more is answered as if it came first.
+        let spent = spent.filter(|&spent| spent < goal.mul_f64(SPENT_GOAL_SHARE_MAX));
+        let way = AnswerWay { is_on_new: req.is_on_new, spent, bytes };
+        req.arrived_at + goal.saturating_sub(return_path.margin(way))
+    }
+
+    /// Returns what a caller spent of its time before its request left, where that shows.
+    fn spent_before(&self, route: &Route, req: &CallerRequest) -> Option<Duration> {
+        let mut all = lock(&self.stated);
+        let stated = named(&mut all, &route.name, StatedBudgets::default);
+        if !req.is_on_new {
+            stated.add(req.deadline);
+            return None;
+        }
+        stated.spent(req.deadline)
     }
 
     /// Notes when an answer was written that had to be made at `due_at`.
--- a/crates/front/src/reader.rs
+++ b/crates/front/src/reader.rs
@@ -20,6 +20,8 @@
 const WATCH_WAIT: Duration = Duration::from_millis(1000);
 /// The pause after a watch that brought changes, so that a burst of them is one call.
 const COALESCE: Duration = Duration::from_millis(200);
+/// How often a host that knows nothing yet looks whether it has to read.
+const START_CHECKED_EVERY: Duration = Duration::from_millis(10);
 /// How often a host that is no reader looks whether it has to be one.
 const DUTY_CHECKED_EVERY: Duration = Duration::from_millis(200);
 
@@ -65,7 +67,8 @@
     let mut has_waited = false;
     while !lock(&gossip.beliefs).must_read(now()) {
         has_waited = true;
-        tokio::time::sleep(DUTY_CHECKED_EVERY.mul_f64(0.5 + fastrand::f64())).await;
+        let every = if lock(&gossip.beliefs).knows_nothing() { START_CHECKED_EVERY } else { DUTY_CHECKED_EVERY };
+        tokio::time::sleep(every.mul_f64(0.5 + fastrand::f64())).await;
     }
     has_waited
 }
--- a/crates/policy/src/return_path.rs
+++ b/crates/policy/src/return_path.rs
@@ -4,12 +4,19 @@
 
 use crate::LatencyWindow;
 
-/// The farthest callers of the users' sites, one way.
-const CALLER_WAY: Duration = Duration::from_millis(3);
+/// Callers' way before anything is known of it: an answer that is early loses a part or two, one
+/// that is late loses nearly all of its worth, so callers are taken to be as far as in one region.
+const UNKNOWN_WAY: Duration = Duration::from_millis(3);
+/// Callers that spent more than this on their way in had another reason.
+const CALLER_SPENT_MAX: Duration = Duration::from_millis(60);
+/// Callers are at different distances; answers to most of them are to be in time.
+const WAY_QUANTILE: f64 = 0.7;
+/// Callers whose distance shows, before it is believed.
+const WAYS_MIN: usize = 4;
 /// Ways of a request on a connection that was open, and of its answer.
 const WAYS_ON_OPEN: u32 = 2;
-/// Ways of a request whose caller first opened a connection, and of its answer.
-const WAYS_ON_NEW: u32 = 4;
+/// Ways of opening a connection.
+const WAYS_OF_OPENING: u32 = 2;
 /// What an answer that is made at its moment takes longer than one whose parts are all in: timers
 /// fire up to a millisecond late, and the parts are merged after that.
 const AT_MOMENT_LAG: Duration = Duration::from_millis(2);
@@ -36,11 +43,13 @@
 pub struct AnswerWay {
     /// Whether the caller opened the connection for its request: the goal counts from before that.
     pub is_on_new: bool,
+    /// What the caller had spent of its time when its request left, where that shows.
+    pub spent: Option<Duration>,
     /// Bytes of the answer.
     pub bytes: usize,
 }
 
-/// Learns how long this host takes to pass an answer on.
+/// Learns how long this host takes to pass an answer on, and how far its callers are.
 ///
 /// Answers the load of hosts with a tenth of a core that wait for their share: a fixed
 /// allowance is too short there, so that answers miss the goal by a few milliseconds, and too
@@ -52,6 +61,9 @@
     samples: LatencyWindow,
     since_computed: usize,
     pass_on: Duration,
+    /// What callers spent on opening connections.
+    openings: LatencyWindow,
+    way: Duration,
 }
 
 impl ReturnPath {
@@ -65,7 +77,14 @@
         for _ in 0..UNKNOWN_SAMPLES {
             samples.add(pass_on);
         }
-        Self { link: link_bytes_per_s, samples, since_computed: 0, pass_on }
+        Self {
+            link: link_bytes_per_s,
+            samples,
+            since_computed: 0,
+            pass_on,
+            openings: LatencyWindow::default(),
+            way: UNKNOWN_WAY,
+        }
     }
 
     /// Adds how long an answer took from the moment at which it was due until it was written.
@@ -78,11 +97,22 @@
         }
     }
 
+    /// Takes what a caller had spent that opened a connection for its request.
+    pub fn opened(&mut self, spent: Duration) {
+        if spent <= CALLER_SPENT_MAX {
+            self.openings.add(spent);
+            if self.openings.len() >= WAYS_MIN {
+                self.way = self.openings.quantile(WAY_QUANTILE).unwrap_or(self.way) / WAYS_OF_OPENING;
+            }
+        }
+    }
+
     /// Returns how long before the goal an answer has to be made.
     #[must_use]
     pub fn margin(&self, way: AnswerWay) -> Duration {
-        let ways = if way.is_on_new { WAYS_ON_NEW } else { WAYS_ON_OPEN };
+        let opening = if way.is_on_new { self.way * WAYS_OF_OPENING } else { Duration::ZERO };
+        let before = way.spent.unwrap_or(opening);
         let transfer = Duration::from_secs_f64(way.bytes as f64 / self.link.max(LINK_MIN)).min(TRANSFER_MAX);
-        CALLER_WAY * ways + transfer + AT_MOMENT_LAG + self.pass_on
+        before + self.way * WAYS_ON_OPEN + transfer + AT_MOMENT_LAG + self.pass_on
     }
 }
--- a/crates/policy/tests/return_path.rs
+++ b/crates/policy/tests/return_path.rs
@@ -19,7 +19,7 @@
 fn play(millicores: u32, is_on_new: bool) -> (f64, Duration) {
     let mut rng = fastrand::Rng::with_seed(u64::from(millicores));
     let mut path = ReturnPath::new(millicores, LINK);
-    let way = AnswerWay { is_on_new, bytes: 8_200 };
+    let way = AnswerWay { is_on_new, bytes: 8_200, ..AnswerWay::default() };
     let transfer = Duration::from_secs_f64(8_200.0 / LINK);
     let ways = WAY * if is_on_new { 4 } else { 2 };
     let (mut in_time, mut left) = (0, Duration::ZERO);
