--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -15,6 +15,7 @@
 };
 
 use crate::{
+    Mechanism,
     caller_request::{CallerRequest, IntakeError},
     clock::now,
     core::Core,
@@ -31,6 +32,8 @@
 const RETRY_NO_TARGET: f64 = 0.25;
 /// When a caller may come back while this host knows no configuration, in seconds.
 const RETRY_NO_TABLE: f64 = 0.3;
+/// The share by which such times differ.
+const RETRY_SPREAD: f64 = 0.4;
 /// When a caller may come back with a request that crashed targets, in seconds.
 const RETRY_SUSPECT: f64 = 30.0;
 
@@ -98,7 +101,12 @@
 fn no_target(req: &CallerRequest, route: &Route) -> CallerReply {
     req.log(Code::RequestRefused, &format!("route {}: no target", route.name));
     let reason = "no target takes work now: come back later";
-    reply::refused(StatusCode::SERVICE_UNAVAILABLE, reason, Some(RETRY_NO_TARGET))
+    reply::refused(StatusCode::SERVICE_UNAVAILABLE, reason, Some(spread(RETRY_NO_TARGET)))
+}
+
+/// Spreads a time, so that callers who were refused together do not come back together.
+fn spread(secs: f64) -> f64 {
+    secs * (1.0 - RETRY_SPREAD + 2.0 * RETRY_SPREAD * fastrand::f64())
 }
 
 /// Returns what a fan may do for a request whose answer has to be made at `goal_at`.
@@ -111,11 +119,12 @@
 ) -> FanRules {
     let allowed = req.deadline.saturating_sub(END_MARGIN).min(Duration::from_millis(route.timeout_ms));
     let (usual, hedge_after) = core.with_latency(route, |latency| (latency.usual(), latency.hedge_after()));
+    let may_copy = route.idempotent && core.uses(Mechanism::SecondCopies);
     let aim = GatherAim {
         least,
         goal_at,
         end_at: req.arrived_at + allowed,
-        hedge_after: route.idempotent.then_some(hedge_after),
+        hedge_after: may_copy.then_some(hedge_after),
         attempts_max: route.attempts_max.max(1) as usize,
     };
     FanRules { aim, repeats: route.idempotent, usual, is_repeat: false, may_group: false }
@@ -150,7 +159,7 @@
     closed_for: Option<Duration>,
 ) -> CallerReply {
     if !may_have_run {
-        let retry_after = closed_for.map_or(RETRY_NO_TARGET, |time| time.as_secs_f64());
+        let retry_after = closed_for.map_or_else(|| spread(RETRY_NO_TARGET), |time| time.as_secs_f64());
         let reason = "no target had room or could be reached: come back later";
         return reply::refused(StatusCode::SERVICE_UNAVAILABLE, reason, Some(retry_after));
     }
--- a/crates/front/src/beliefs.rs
+++ b/crates/front/src/beliefs.rs
@@ -27,8 +27,8 @@
 /// How long a host that just started waits for others' news before it reads the store, at least
 /// and at most. A fleet that serves tells within a few exchanges. Where a whole fleet starts, the
 /// first readers tell others, and seeds may be the last to start.
-const INTRODUCTION_MIN: Duration = Duration::from_millis(40);
-const INTRODUCTION_MAX: Duration = Duration::from_millis(120);
+const INTRODUCTION_MIN: Duration = Duration::from_millis(20);
+const INTRODUCTION_MAX: Duration = Duration::from_millis(80);
 /// Processor time that one gather at a time takes up while it runs, for comparing gatherers.
 const GATHER_MILLICORES: u32 = 40;
 /// Marks that one message carries.
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -15,8 +15,15 @@
 use tokio::sync::Notify;
 
 use crate::{
-    Options, answer_memory::AnswerMemory, caller_request::CallerRequest, clock::now, connection::Connection,
-    instruments::Instruments, route_latency::RouteLatency, target::Target, target_set::TargetSet,
+    Mechanism, Options,
+    answer_memory::AnswerMemory,
+    caller_request::CallerRequest,
+    clock::now,
+    connection::Connection,
+    instruments::Instruments,
+    route_latency::RouteLatency,
+    target::Target,
+    target_set::{TargetSenses, TargetSet},
 };
 
 /// The share of a target's connections that hosts use; the rest is for hosts that come and go.
@@ -103,10 +110,18 @@
     }
 
     pub(crate) fn set_replicas(&self, registry: &Registry) {
-        let next = self.targets.load().rebuild(now(), registry.usable(), &self.options.data_centre);
+        let next = self.targets.load().rebuild(now(), registry.usable(), self.senses());
         self.targets.store(Arc::new(next));
     }
 
+    fn senses(&self) -> TargetSenses<'_> {
+        TargetSenses {
+            data_centre: &self.options.data_centre,
+            slowness: self.uses(Mechanism::Slowness),
+            avoidance: self.uses(Mechanism::Avoidance),
+        }
+    }
+
     pub(crate) fn set_hosts(&self, hosts: usize) {
         self.hosts.store(hosts, Ordering::Relaxed);
     }
@@ -115,7 +130,7 @@
     pub(crate) fn set_gatherers(&self, gatherers: &[Replica]) {
         let own = self.options.gathers;
         let others = gatherers.iter().filter(|gatherer| gatherer.address != own);
-        let next = self.gatherers.load().rebuild(now(), others, &self.options.data_centre);
+        let next = self.gatherers.load().rebuild(now(), others, self.senses());
         self.gatherers.store(Arc::new(next));
         self.gatherer_count.store(gatherers.len(), Ordering::Relaxed);
         let is_gatherer = gatherers.iter().any(|gatherer| gatherer.address == own);
@@ -127,6 +142,11 @@
         self.is_gatherer.load(Ordering::Relaxed)
     }
 
+    /// Tells whether a mechanism is in use.
+    pub(crate) fn uses(&self, mechanism: Mechanism) -> bool {
+        !self.options.switched_off.contains(mechanism)
+    }
+
     /// Counts parts of gathers that this host asks for.
     pub(crate) fn count_parts(&self, parts: usize) {
         self.parts.fetch_add(parts as u64, Ordering::Relaxed);
@@ -256,10 +276,12 @@
     pub(crate) fn answer_at(&self, route: &Route, req: &CallerRequest) -> Instant {
         let goal = Duration::from_millis(route.goal_ms);
         let bytes = match &route.backend {
-            Backend::Gather(plan) => plan.shards.len() * RECEIPT_BYTES + plan.top * RECORD_BYTES,
-            Backend::One(_) | Backend::Split(_) => 0,
+            Backend::Gather(plan) if self.uses(Mechanism::LinkShare) => {
+                plan.shards.len() * RECEIPT_BYTES + plan.top * RECORD_BYTES
+            }
+            _ => 0,
         };
-        let spent = self.spent_before(route, req);
+        let spent = if self.uses(Mechanism::CallerWay) { self.spent_before(route, req) } else { None };
         let mut return_path = lock(&self.return_path);
         spent.into_iter().for_each(|spent| return_path.opened(spent));
         // One that cannot have its answer by the goal any more is answered as if it came first.
@@ -282,7 +304,9 @@
     /// Notes when an answer was written that had to be made at `due_at`.
     pub(crate) fn answer_written(&self, due_at: Instant) {
         let late = now().saturating_duration_since(due_at);
-        lock(&self.return_path).add(late);
+        if self.uses(Mechanism::LearnedMoment) {
+            lock(&self.return_path).add(late);
+        }
         self.instruments.answer_way(late);
     }
 
--- a/crates/front/src/delegate.rs
+++ b/crates/front/src/delegate.rs
@@ -14,6 +14,7 @@
 use hyper::{Method, Request, StatusCode, body::Incoming};
 
 use crate::{
+    Mechanism,
     caller_request::CallerRequest,
     clock::now,
     connection::Connection,
@@ -86,12 +87,36 @@
     req: &Arc<CallerRequest>,
     answer_at: Instant,
 ) -> Delegated {
-    let mut is_repeat = false;
     let near = data_centres(core, plan);
     let own = &core.options.data_centre;
-    if core.is_gatherer() && near.contains(own) {
-        return Delegated::Here { is_repeat };
+    if !core.uses(Mechanism::Gatherers) || core.is_gatherer() && near.contains(own) {
+        return Delegated::Here { is_repeat: false };
     }
+    hand_on(core, route, plan, req, answer_at, &near).await
+}
+
+/// Hands a gather to another host, wherever that is; the answer has to be here at `answer_at`.
+pub(crate) async fn hand_elsewhere(
+    core: &Arc<Core>,
+    route: &Route,
+    plan: &GatherPlan,
+    req: &Arc<CallerRequest>,
+    answer_at: Instant,
+) -> Delegated {
+    let near = data_centres(core, plan);
+    hand_on(core, route, plan, req, answer_at, &near).await
+}
+
+async fn hand_on(
+    core: &Arc<Core>,
+    route: &Route,
+    plan: &GatherPlan,
+    req: &Arc<CallerRequest>,
+    answer_at: Instant,
+    near: &[Arc<str>],
+) -> Delegated {
+    let mut is_repeat = false;
+    let own = &core.options.data_centre;
     let first: Vec<Arc<str>> = near.iter().filter(|name| *name == own).cloned().collect();
     let mut tried = Vec::new();
     for _ in 0..GATHERERS_MAX {
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -17,6 +17,7 @@
 };
 
 use crate::{
+    Mechanism,
     caller_request::CallerRequest,
     clock::now,
     connection::{Connection, HEAD_BYTES_MAX},
@@ -80,7 +81,7 @@
 
 fn end_name(end: ExchangeEnd) -> &'static str {
     match end {
-        ExchangeEnd::Answered => "answered",
+        ExchangeEnd::Answered | ExchangeEnd::Untimed => "answered",
         ExchangeEnd::Failed => "failed",
         ExchangeEnd::Shed => "shed",
         ExchangeEnd::Unreachable => "unreachable",
@@ -170,7 +171,7 @@
     if head.headers.get(&names.request_id).is_some_and(|id| *id != req.id) {
         return ExchangeResult::Lost(LossCause::Foreign);
     }
-    take_load(core, target, &head.headers);
+    take_load(core, target, &head.headers, terms.usual);
     // Only a success is a part; a failure is passed on or dropped as it is.
     let top = terms.top.filter(|_| head.status.is_success());
     let body = match read_body(core, &connection, body, top).await {
@@ -254,12 +255,14 @@
     }
 }
 
-fn take_load(core: &Core, target: &Target, headers: &HeaderMap) {
+fn take_load(core: &Core, target: &Target, headers: &HeaderMap, usual: Duration) {
     let load = headers.get(&core.options.headers.load).and_then(|value| value.to_str().ok());
     let mut numbers =
         load.into_iter().flat_map(|text| text.split(',')).map(|item| item.trim().parse::<u32>());
-    if let (Some(Ok(running)), Some(Ok(waiting))) = (numbers.next(), numbers.next()) {
-        target.state().load.report(now(), running.saturating_add(waiting));
+    if let (Some(Ok(running)), Some(Ok(waiting))) = (numbers.next(), numbers.next())
+        && core.uses(Mechanism::LoadReports)
+    {
+        target.state().load.report(now(), running.saturating_add(waiting), usual);
     }
 }
 
--- a/crates/front/src/fan.rs
+++ b/crates/front/src/fan.rs
@@ -19,7 +19,7 @@
     left_out::Wanted,
 };
 use crate::{
-    caller_request::CallerRequest, clock::now, core::Core, fan_end::FanEnd, fan_rules::FanRules,
+    Mechanism, caller_request::CallerRequest, clock::now, core::Core, fan_end::FanEnd, fan_rules::FanRules,
     hand_over::HandOver,
 };
 
@@ -69,7 +69,8 @@
     hand_over: Option<HandOver>,
 ) -> FanEnd {
     // Parts that are handed over are never enough by themselves: the receiver decides.
-    let goal_at = if hand_over.is_some() { rules.aim.end_at } else { rules.aim.goal_at };
+    let is_early = hand_over.is_none() && core.uses(Mechanism::EarlyAnswers);
+    let goal_at = if is_early { rules.aim.goal_at } else { rules.aim.end_at };
     let aim = GatherAim { goal_at, ..rules.aim };
     let top = match &route.backend {
         Backend::Gather(plan) => Some(plan.top),
--- a/crates/front/src/fan/groups.rs
+++ b/crates/front/src/fan/groups.rs
@@ -7,6 +7,7 @@
 
 use super::{Fan, FanEvent, Next};
 use crate::{
+    Mechanism,
     clock::now,
     delegate::{DelegateError, part_call},
     gather_call::GatherReply,
@@ -40,7 +41,7 @@
 impl Fan<'_> {
     /// Finds gatherers of other data centres for shards that have no target nearby.
     pub(super) fn groups(&self) -> Vec<(Arc<Target>, Vec<usize>)> {
-        if !self.rules.may_group {
+        if !self.rules.may_group || !self.core.uses(Mechanism::MergingElsewhere) {
             return Vec::new();
         }
         let targets = self.core.targets.load();
--- a/crates/front/src/fan/left_out.rs
+++ b/crates/front/src/fan/left_out.rs
@@ -5,7 +5,7 @@
 use egret_policy::{GatherAim, ShardChoice, ShardOutlook, choose_shards, on_time};
 
 use super::{Fan, NextCopy};
-use crate::clock::now;
+use crate::{Mechanism, clock::now};
 
 /// What a part of a shard is expected to take that a gatherer of another data centre left out.
 const OVERLOADED_AFAR: Duration = Duration::from_millis(1000);
@@ -45,6 +45,7 @@
         let outlooks: Vec<ShardOutlook> = self.services.iter().map(outlook).collect();
         let to_goal = self.rules.aim.goal_at.saturating_duration_since(now);
         match choose_shards(&outlooks, self.rules.aim.least, to_goal) {
+            ShardChoice::Ask(_) if !self.core.uses(Mechanism::LeavingOut) => Ok(()),
             ShardChoice::Ask(asked) => {
                 for shard in 0..self.services.len() {
                     if asked.binary_search(&shard).is_err() {
@@ -55,6 +56,7 @@
                 self.end.overloaded.clone_from(&self.left_out);
                 Ok(())
             }
+            ShardChoice::Refuse(_) if !self.core.uses(Mechanism::StartRefusal) => Ok(()),
             ShardChoice::Refuse(retry_after) => Err(retry_after),
         }
     }
@@ -101,6 +103,6 @@
         let targets = self.core.targets.load();
         let opens = |shard: &&usize| now + targets.closed_for(now, &self.services[**shard]) < until;
         let possible = self.left_out.iter().filter(opens).count();
-        now < until && lacking <= possible.min(LACKING_MAX)
+        self.core.uses(Mechanism::WaitingForRoom) && now < until && lacking <= possible.min(LACKING_MAX)
     }
 }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -14,7 +14,7 @@
 use tokio::{runtime::Handle, task::JoinHandle};
 
 use crate::{
-    Options, Store,
+    Mechanism, Options, Store,
     beliefs::Beliefs,
     caller_connection,
     clock::now,
@@ -101,12 +101,13 @@
             let error = |address| move |source| FrontError { address, source };
             (callers.map_err(error(address))?, gathers.map_err(error(options.gathers))?)
         };
-        let tasks = vec![
+        let mut tasks = vec![
             tokio::spawn(gossip.clone().run()),
-            tokio::spawn(gossip.clone().push()),
             tokio::spawn(gossip.clone().take_leaving_targets()),
             tokio::spawn(reader::follow(Arc::new(store), gossip.clone())),
         ];
+        let push = core.uses(Mechanism::Push).then(|| tokio::spawn(gossip.clone().push()));
+        tasks.extend(push);
         log_decision(Code::Started, "", &format!("{} listens on {address}", options.host));
         Ok(Self {
             core,
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -1,6 +1,6 @@
 //! Gathers: one answer out of the parts of many shards.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Instant};
 
 use egret_events::Code;
 use egret_routes::{GatherPlan, Route, greatest};
@@ -8,11 +8,12 @@
 use tokio::sync::mpsc;
 
 use crate::{
+    Mechanism,
     answer::{elapsed_ms, fan_rules, no_answer},
     caller_request::CallerRequest,
     clock::now,
     core::Core,
-    delegate::{Delegated, LAG_MAX, delegate},
+    delegate::{Delegated, LAG_MAX, delegate, hand_elsewhere},
     fan::fan,
     fan_end::FanEnd,
     gather_call::GatherReply,
@@ -35,10 +36,8 @@
             (reply, made_at.map(|made_at| made_at.min(answer_at)))
         }
         Delegated::Here { is_repeat } => {
-            core.instruments.gather("self");
-            let reply = run_gather(core, route, plan, req, GatherTerms { is_repeat, answer_at }).await;
-            let made_at = now();
-            (reply, (made_at < answer_at + LAG_MAX).then_some(made_at.min(answer_at)))
+            let terms = GatherTerms { is_repeat, answer_at };
+            gather_here(core, route, plan, req, terms).await
         }
     };
     if let Some(come_back_ms) = outcome.come_back_ms {
@@ -64,6 +63,38 @@
     reply
 }
 
+/// Asks the targets of all shards from this host; returns the reply, and when it was due where that
+/// says something of this host.
+///
+/// What this host would refuse without having asked anybody goes to another one: a host knows only
+/// its own share of the targets' load, and was told what others left out a moment ago.
+async fn gather_here(
+    core: &Arc<Core>,
+    route: &Route,
+    plan: &GatherPlan,
+    req: &Arc<CallerRequest>,
+    terms: GatherTerms,
+) -> (GatherReply, Option<Instant>) {
+    core.instruments.gather("self");
+    let answer_at = terms.answer_at;
+    let reply = run_gather(core, route, plan, req, terms).await;
+    let is_untouched = reply.come_back_ms.is_some() && !reply.may_have_run && !terms.is_repeat;
+    if is_untouched && core.uses(Mechanism::SecondOpinion) {
+        match hand_elsewhere(core, route, plan, req, answer_at).await {
+            Delegated::Done { reply, made_at } => {
+                core.instruments.gather("other");
+                return (reply, made_at.map(|made_at| made_at.min(answer_at)));
+            }
+            Delegated::Here { is_repeat: true } => {
+                return (GatherReply { may_have_run: true, ..GatherReply::not_run() }, None);
+            }
+            Delegated::Here { is_repeat: false } => {}
+        }
+    }
+    let made_at = now();
+    (reply, (made_at < answer_at + LAG_MAX).then_some(made_at.min(answer_at)))
+}
+
 /// Asks the targets of all shards from this host.
 pub(crate) async fn run_gather(
     core: &Arc<Core>,
--- a/crates/front/src/options.rs
+++ b/crates/front/src/options.rs
@@ -4,7 +4,7 @@
 
 use egret_policy::RetryLimits;
 
-use crate::HeaderNames;
+use crate::{HeaderNames, SwitchedOff};
 
 /// What a host daemon is told at its start.
 #[derive(Clone, Debug)]
@@ -38,6 +38,8 @@
     pub grace: Duration,
     /// How long a request may still be handled by an older configuration.
     pub config_lag: Duration,
+    /// Mechanisms that are switched off, to measure what they are worth.
+    pub switched_off: SwitchedOff,
     /// The names of headers.
     pub headers: HeaderNames,
 }
--- a/crates/front/src/reader.rs
+++ b/crates/front/src/reader.rs
@@ -67,7 +67,8 @@
     let mut has_waited = false;
     while !lock(&gossip.beliefs).must_read(now()) {
         has_waited = true;
-        let every = if lock(&gossip.beliefs).knows_nothing() { START_CHECKED_EVERY } else { DUTY_CHECKED_EVERY };
+        let every =
+            if lock(&gossip.beliefs).knows_nothing() { START_CHECKED_EVERY } else { DUTY_CHECKED_EVERY };
         tokio::time::sleep(every.mul_f64(0.5 + fastrand::f64())).await;
     }
     has_waited
--- a/crates/front/src/target.rs
+++ b/crates/front/src/target.rs
@@ -12,7 +12,7 @@
 use egret_routes::Replica;
 use tokio::sync::Notify;
 
-use crate::{clock::now, connection::Connection};
+use crate::{clock::now, connection::Connection, target_set::TargetSenses};
 
 /// How much slower than usual a target is that just started.
 const COLD_SLOWNESS: f64 = 1.6;
@@ -22,6 +22,8 @@
 pub(crate) struct Target {
     pub(crate) replica: Replica,
     pub(crate) is_local: bool,
+    counts_slowness: bool,
+    may_avoid: bool,
     state: Mutex<TargetState>,
     retired: AtomicBool,
     pub(crate) freed: Notify,
@@ -35,10 +37,19 @@
 }
 
 impl Target {
-    pub(crate) fn new(replica: Replica, is_local: bool) -> Self {
+    pub(crate) fn new(replica: Replica, senses: TargetSenses<'_>) -> Self {
+        let is_local = *replica.data_centre == *senses.data_centre;
         let load = TargetLoad::new(replica.slots);
         let state = Mutex::new(TargetState { load, idle: Vec::new(), open: 0 });
-        Self { replica, is_local, state, retired: AtomicBool::new(false), freed: Notify::new() }
+        Self {
+            replica,
+            is_local,
+            counts_slowness: senses.slowness,
+            may_avoid: senses.avoidance,
+            state,
+            retired: AtomicBool::new(false),
+            freed: Notify::new(),
+        }
     }
 
     pub(crate) fn is_same(&self, replica: &Replica) -> bool {
@@ -102,7 +113,7 @@
     }
 
     pub(crate) fn is_avoided(&self, now: Instant) -> bool {
-        self.state().load.is_avoided(now)
+        self.may_avoid && self.state().load.is_avoided(now)
     }
 }
 
@@ -123,6 +134,7 @@
     pub(crate) fn end(&mut self, now: Instant, end: ExchangeEnd) {
         if !self.ended {
             self.ended = true;
+            let end = if self.target.counts_slowness { end } else { end.without_latency() };
             self.target.state().load.end(now, self.began, end);
         }
     }
--- a/crates/front/src/target_set.rs
+++ b/crates/front/src/target_set.rs
@@ -37,6 +37,17 @@
     Within(f64),
 }
 
+/// How targets are seen from a host.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TargetSenses<'a> {
+    /// The host's data centre.
+    pub(crate) data_centre: &'a str,
+    /// Whether it counts that they were slow.
+    pub(crate) slowness: bool,
+    /// Whether those that fail get no work for a while.
+    pub(crate) avoidance: bool,
+}
+
 /// The targets of one service.
 #[derive(Debug)]
 struct Group {
@@ -59,13 +70,13 @@
         &self,
         now: Instant,
         replicas: impl Iterator<Item = &'a Replica>,
-        data_centre: &str,
+        senses: TargetSenses<'_>,
     ) -> Self {
         let mut next = Self::default();
         for replica in replicas {
             let known = self.targets_of(&replica.service).iter().find(|target| target.is_same(replica));
             let target = known.cloned().unwrap_or_else(|| {
-                let target = Target::new(replica.clone(), *replica.data_centre == *data_centre);
+                let target = Target::new(replica.clone(), senses);
                 if let Some(earlier) = self.removed_closed.iter().find(|earlier| earlier.is_same(replica)) {
                     target.state().load.close_like(&earlier.state().load);
                 }
--- a/crates/policy/src/shard_choice.rs
+++ b/crates/policy/src/shard_choice.rs
@@ -38,42 +38,28 @@
 /// Chooses the shards that a gather asks.
 ///
 /// Answers the load of a day on which some shards' replicas are slow: what these shards are
-/// asked beyond their capacity would come late for every query. A query that has enough
-/// shards without them leaves them out, which leaves their capacity to the others; one that
-/// needs them takes their free slots; one that finds none is refused before any part runs.
+/// asked beyond their capacity would come late for every query. A query asks a shard that has
+/// a free slot, or whose part is likely to be in by the goal; a slot that is free delays nobody.
+/// The others are left out where enough remain; a query that needs them asks those that promise
+/// a part by the goal at all, and is refused before any part runs where there are too few.
 #[must_use]
 pub fn choose_shards(outlooks: &[ShardOutlook], least: usize, to_goal: Duration) -> ShardChoice {
-    let on_time = on_time(to_goal);
     let is_open = |at: &usize| outlooks[*at].expected.is_some() && outlooks[*at].closed_for.is_zero();
+    let is_by = |at: usize, within: Duration| outlooks[at].has_room || outlooks[at].expected <= Some(within);
     let mut order: Vec<usize> = (0..outlooks.len()).filter(is_open).collect();
-    order.sort_by_key(|&at| outlooks[at].expected);
-    let in_time = order.iter().filter(|&&at| outlooks[at].expected <= Some(on_time)).count();
-    if in_time >= least {
-        order.truncate(in_time);
-        order.sort_unstable();
-        return ShardChoice::Ask(order);
+    order.sort_by_key(|&at| (!is_by(at, on_time(to_goal)), outlooks[at].expected));
+    if order.len() < least {
+        return ShardChoice::Refuse(opens_after(outlooks, least - order.len()));
     }
-    let needed: Vec<usize> = order.iter().copied().take(least).collect();
-    let late = &needed[in_time.min(needed.len())..];
-    let is_worth_asking = |at: &usize| outlooks[*at].has_room || outlooks[*at].expected <= Some(to_goal);
-    let is_possible = needed.len() >= least && late.iter().all(is_worth_asking);
-    if is_possible {
-        // Others with free slots may come in as well; those without would only wait.
-        let mut asked: Vec<usize> = order
-            .into_iter()
-            .enumerate()
-            .filter(|&(rank, at)| rank < least || outlooks[at].has_room)
-            .map(|(_, at)| at)
-            .collect();
-        asked.sort_unstable();
-        return ShardChoice::Ask(asked);
+    let hopeful = order.iter().filter(|&&at| is_by(at, on_time(to_goal))).count();
+    let (needed, _) = order.split_at(least);
+    if let Some(&late) = needed.iter().rev().find(|&&at| !is_by(at, to_goal)) {
+        let worst = outlooks[late].expected.unwrap_or(COME_BACK_MAX);
+        return ShardChoice::Refuse(worst.clamp(COME_BACK_MIN, COME_BACK_MAX));
     }
-    let lacking = least.saturating_sub(needed.len());
-    if lacking > 0 {
-        return ShardChoice::Refuse(opens_after(outlooks, lacking));
-    }
-    let worst = late.iter().filter_map(|&at| outlooks[at].expected).max().unwrap_or(COME_BACK_MAX);
-    ShardChoice::Refuse(worst.clamp(COME_BACK_MIN, COME_BACK_MAX))
+    order.truncate(hopeful.max(least));
+    order.sort_unstable();
+    ShardChoice::Ask(order)
 }
 
 /// Returns how long it takes until so many closed shards are open.
--- a/crates/policy/src/target_load.rs
+++ b/crates/policy/src/target_load.rs
@@ -15,6 +15,19 @@
     Unreachable,
     /// Nobody waits for it any more.
     Abandoned,
+    /// With an answer of which the latency does not count.
+    Untimed,
+}
+
+impl ExchangeEnd {
+    /// Returns the end without what its latency tells.
+    #[must_use]
+    pub fn without_latency(self) -> Self {
+        match self {
+            Self::Answered | Self::Abandoned => Self::Untimed,
+            other => other,
+        }
+    }
 }
 
 /// The weight of a new sample in the moving slowness.
@@ -23,8 +36,11 @@
 const UNKNOWN_SLOWNESS: f64 = 1.0;
 /// After this time without a sample, two thirds of an old slowness are forgotten.
 const SLOWNESS_LASTS: Duration = Duration::from_secs(2);
-/// After this time, two thirds of a load report are forgotten; other hosts' work changes quickly.
-const REPORT_LASTS: Duration = Duration::from_millis(150);
+/// Two thirds of a load report are forgotten after so many usual latencies: what was running then
+/// has ended, and other hosts' work changes as quickly.
+const REPORT_LASTS_FACTOR: f64 = 4.0;
+/// The way of a report alone takes a few milliseconds.
+const REPORT_LASTS_MIN: Duration = Duration::from_millis(5);
 /// An exchange is overdue when it takes so many times as long as usual.
 const OVERDUE_FACTOR: f64 = 2.5;
 /// Failures in a row after which a target is avoided.
@@ -68,6 +84,7 @@
     begun: Vec<Begun>,
     reported: f64,
     reported_at: Option<Instant>,
+    report_lasts: Duration,
     failures: u32,
     avoidances: u32,
     avoid_until: Option<Instant>,
@@ -85,6 +102,7 @@
             begun: Vec::new(),
             reported: 0.0,
             reported_at: None,
+            report_lasts: Duration::ZERO,
             failures: 0,
             avoidances: 0,
             avoid_until: None,
@@ -118,19 +136,27 @@
             ExchangeEnd::Unreachable => self.avoid(now),
             ExchangeEnd::Shed => {
                 self.avoid_until = self.avoid_until.max(Some(now + SHED_AVOID));
-                self.reported = self.reported.max(self.slots * SHED_QUEUE);
-                self.reported_at = Some(now);
+                let requests = self.reported.max(self.slots * SHED_QUEUE);
+                self.set_reported(now, requests, begun.usual);
             }
             // It would have taken longer than this.
             ExchangeEnd::Abandoned if sample > self.slowness => self.sample(now, sample),
             ExchangeEnd::Abandoned => {}
+            ExchangeEnd::Untimed => (self.failures, self.avoidances) = (0, 0),
         }
     }
 
     /// Takes the target's report of the requests that it runs and that wait there.
-    pub fn report(&mut self, now: Instant, requests: u32) {
-        self.reported = f64::from(requests);
+    ///
+    /// It came with an answer to a request that usually takes `usual`.
+    pub fn report(&mut self, now: Instant, requests: u32, usual: Duration) {
+        self.set_reported(now, f64::from(requests), usual);
+    }
+
+    fn set_reported(&mut self, now: Instant, requests: f64, usual: Duration) {
+        self.reported = requests;
         self.reported_at = Some(now);
+        self.report_lasts = usual.mul_f64(REPORT_LASTS_FACTOR).max(REPORT_LASTS_MIN);
     }
 
     /// Takes the target's word that it wants nothing from this host for so long.
@@ -195,7 +221,7 @@
 
     fn pending(&self, now: Instant) -> f64 {
         let own = self.begun.len() as f64;
-        own.max(self.reported * faded(now, self.reported_at, REPORT_LASTS))
+        own.max(self.reported * faded(now, self.reported_at, self.report_lasts))
     }
 
     /// Returns how many times as long as usual the target takes.
--- a/crates/policy/tests/targets.rs
+++ b/crates/policy/tests/targets.rs
@@ -37,7 +37,7 @@
 fn waiting_requests_make_a_target_dear_not_slow() {
     let start = Instant::now();
     let mut load = TargetLoad::new(2);
-    load.report(start, 6);
+    load.report(start, 6, USUAL);
     assert!(load.cost(start) > 3.0);
     assert!(load.slowness_at(start) < 1.1);
     assert!(!load.has_room(start));
@@ -133,3 +133,15 @@
     load.close(start, Duration::MAX, 1.0);
     assert!(load.closed_for(start) < Duration::from_secs(600));
 }
+
+/// Requests of a few milliseconds are over long before those of a quarter of a second.
+#[test]
+fn a_report_counts_as_long_as_requests_last() {
+    let start = Instant::now();
+    for usual in [ms(5), ms(30), ms(220)] {
+        let mut load = TargetLoad::new(2);
+        load.report(start, 4, usual);
+        assert!(!load.has_room(start + usual), "{usual:?}: what was running still runs");
+        assert!(load.has_room(start + usual * 6), "{usual:?}: it has ended");
+    }
+}
