--- a/crates/policy/tests/gathers.rs
+++ b/crates/policy/tests/gathers.rs
@@ -285,3 +285,13 @@
     let outlooks = [outlook(20, true), closed(4000), closed(2500), closed(3000)];
     assert_eq!(choose_shards(&outlooks, 3, ms(150)), ShardChoice::Refuse(ms(3000)));
 }
+
+/// A free slot delays nobody, so a slow shard's part may come as well.
+#[test]
+fn slow_shards_with_room_are_asked_although_enough_others_remain() {
+    let mut outlooks = vec![outlook(40, true); 20];
+    outlooks[3] = outlook(400, true);
+    outlooks[7] = outlook(400, false);
+    let ShardChoice::Ask(asked) = choose_shards(&outlooks, 18, ms(186)) else { panic!("it is asked") };
+    assert_eq!((asked.len(), asked.contains(&7)), (19, false));
+}
