--- a/crates/policy/src/target_load.rs
+++ b/crates/policy/src/target_load.rs
@@ -86,6 +86,8 @@
     reported_at: Option<Instant>,
     report_lasts: Duration,
     failures: u32,
+    /// Whether an exchange failed since the last answer.
+    has_failed: bool,
     avoidances: u32,
     avoid_until: Option<Instant>,
     closed_until: Option<Instant>,
@@ -104,6 +106,7 @@
             reported_at: None,
             report_lasts: Duration::ZERO,
             failures: 0,
+            has_failed: false,
             avoidances: 0,
             avoid_until: None,
             closed_until: None,
@@ -121,6 +124,11 @@
         let Some(at) = self.begun.iter().position(|begun| begun.at == began) else { return };
         let begun = self.begun.swap_remove(at);
         let sample = ratio(now.saturating_duration_since(began), begun.usual) / begun.share;
+        match end {
+            ExchangeEnd::Answered | ExchangeEnd::Untimed => self.has_failed = false,
+            ExchangeEnd::Failed | ExchangeEnd::Unreachable | ExchangeEnd::Shed => self.has_failed = true,
+            ExchangeEnd::Abandoned => {}
+        }
         match end {
             ExchangeEnd::Answered => {
                 self.sample(now, sample);
@@ -195,9 +203,11 @@
     /// Returns the cost where what is not known of this target is taken to be like another one.
     ///
     /// Answers the load of a calm service with a new replica: beside one that has become quicker
-    /// than usual, a target without samples would get no work, and never a sample.
+    /// than usual, a target without samples would get no work, and never a sample. Of one that fails,
+    /// nothing good is taken to be known.
     #[must_use]
     pub fn cost_beside(&self, now: Instant, slowness: f64) -> f64 {
+        let slowness = if self.has_failed { UNKNOWN_SLOWNESS } else { slowness };
         self.slowness_beside(now, slowness) * self.queue_factor(now) * self.reopen_factor(now)
     }
 
--- a/crates/policy/tests/targets.rs
+++ b/crates/policy/tests/targets.rs
@@ -145,3 +145,16 @@
         assert!(load.has_room(start + usual * 6), "{usual:?}: it has ended");
     }
 }
+
+/// A target that only fails has no latencies; it must not look as quick as one that answers.
+#[test]
+fn a_target_that_fails_is_not_taken_to_be_like_its_quickest_neighbour() {
+    let start = Instant::now();
+    for end in [ExchangeEnd::Failed, ExchangeEnd::Unreachable, ExchangeEnd::Shed] {
+        let mut load = TargetLoad::new(2);
+        assert!(load.cost_beside(start, 0.1) < 0.2);
+        load.begin(start, USUAL);
+        load.end(start, start, end);
+        assert!(load.cost_beside(start + Duration::from_secs(2), 0.1) > 0.9, "{end:?}");
+    }
+}
