Evacuate data centres: decode, gossip and obey the operator's orders

Ruled out: tombstones per data centre, as replicas have. The set is a few names, so each message carries all of it with the position of the store that it is of, and the greater position wins; no host can return to an older state, and a host that starts knows the set with the registry.

Evacuations (routes) holds the set, FleetView merges it, Core installs no target of an evacuated data centre. Event 522, a metric.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -126,6 +126,8 @@
     StoreRestored = 520, "store restored from a backup";
     /// An answer of the store was dropped because its epoch cannot be the present one.
     StoreAnswerDropped = 521, "store answer dropped";
+    /// A changed set of evacuated data centres is in force.
+    EvacuationsInForce = 522, "evacuations in force";
     /// Settings were reloaded.
     SettingsReloaded = 514, "settings reloaded";
     /// Settings could not be reloaded; the old ones stay in force.
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -11,7 +11,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use egret_events::{Code, log_event};
 use egret_policy::{AnswerDelivery, CallerBudgets, LeadTimeEstimator, RetryBudget, Suspects};
-use egret_routes::{Backend, RECORD_BYTES, Registry, Replica, ReplicaRun, Route, RouteTable};
+use egret_routes::{Backend, Evacuations, RECORD_BYTES, Registry, Replica, ReplicaRun, Route, RouteTable};
 use tokio::sync::Notify;
 
 use crate::{
@@ -69,6 +69,7 @@
     /// The other hosts that gather, as targets of services named after their data centres.
     pub(crate) gatherers: ArcSwap<TargetSet>,
     hosts: AtomicUsize,
+    evacuated: AtomicUsize,
     gatherer_count: AtomicUsize,
     is_gatherer: AtomicBool,
     /// Parts of gathers that this host asked for since the load was last computed.
@@ -102,6 +103,7 @@
             instruments: Instruments::open(),
             gatherers: ArcSwap::default(),
             hosts: AtomicUsize::new(1),
+            evacuated: AtomicUsize::new(0),
             gatherer_count: AtomicUsize::new(0),
             is_gatherer: AtomicBool::new(false),
             parts: AtomicU64::new(0),
@@ -120,9 +122,17 @@
         self.table.store(Some(table));
     }
 
-    pub(crate) fn set_replicas(&self, registry: &Registry) {
-        let next = self.targets.load().rebuild(now(), registry.usable(), self.target_options());
+    /// Installs the replicas that may get requests: none in an evacuated data centre.
+    pub(crate) fn set_replicas(&self, registry: &Registry, evacuations: &Evacuations) {
+        let admitted = registry.usable().filter(|replica| !evacuations.contains(&replica.data_centre));
+        let next = self.targets.load().rebuild(now(), admitted, self.target_options());
         self.targets.store(Arc::new(next));
+        self.evacuated.store(evacuations.data_centres().len(), Ordering::Relaxed);
+    }
+
+    /// Returns the number of evacuated data centres.
+    pub(crate) fn evacuated_data_centres(&self) -> usize {
+        self.evacuated.load(Ordering::Relaxed)
     }
 
     fn target_options(&self) -> TargetOptions<'_> {
--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -10,7 +10,7 @@
 use egret_members::{GossipMessage, Member, Membership};
 use egret_model::Version;
 use egret_policy::{GathererCandidate, choose_gatherers, store_readers};
-use egret_routes::{Registry, Replica, ReplicaRun, RouteTable, StorePosition};
+use egret_routes::{Evacuations, Registry, Replica, ReplicaRun, RouteTable, StorePosition};
 
 use crate::{
     core::Core,
@@ -48,6 +48,8 @@
     core: Arc<Core>,
     pub(crate) membership: Membership,
     pub(crate) registry: Registry,
+    /// As of [`Registry::synced`] or later, so that a watch which continues there misses no change.
+    evacuations: Evacuations,
     table: Option<Arc<RouteTable>>,
     /// When the latest answered call to the store was sent, by this or another host.
     store_confirmed_at: Option<Instant>,
@@ -63,6 +65,7 @@
             core,
             membership,
             registry: Registry::default(),
+            evacuations: Evacuations::default(),
             table: None,
             store_confirmed_at: None,
             gatherers: Vec::new(),
@@ -106,9 +109,12 @@
     }
 
     /// Returns the position up to which all changes are known; `None` while this host lacks the
-    /// configuration or a complete list of replicas.
+    /// configuration, a complete list of replicas, or the evacuations.
     pub(crate) fn position(&self) -> Option<StorePosition> {
-        Some(self.registry.synced()).filter(|synced| !synced.is_epoch_start() && self.table.is_some())
+        let synced = self.registry.synced();
+        let is_complete =
+            !synced.is_epoch_start() && self.table.is_some() && self.evacuations.as_of() >= synced;
+        is_complete.then_some(synced)
     }
 
     /// Returns whether this host still lacks the configuration or the replicas.
@@ -150,6 +156,13 @@
     ) -> Result<bool, UnusableRead> {
         let epoch = self.registry.synced().epoch;
         let mut has_changed = cursor.apply(now, &mut self.registry, &mut read)?;
+        let evacuations_changed = if read.is_whole {
+            self.evacuations.apply_full_read(read.position, &read.evacuations)
+        } else {
+            self.evacuations.apply_changes(read.position, &read.evacuations)
+        };
+        self.log_evacuations(evacuations_changed);
+        has_changed |= evacuations_changed;
         self.install_replicas(has_changed);
         has_changed |= self.registry.synced().epoch > epoch;
         for table in read.tables {
@@ -174,6 +187,7 @@
             table: None,
             replicas: None,
             leaving: self.registry.unpublished_leaving_runs().take(LEAVING_MAX).collect(),
+            evacuations: self.evacuations.clone(),
         }
     }
 
@@ -233,6 +247,10 @@
         }
         let mut has_changed = message.table.is_some_and(|table| self.install_table(table));
         has_changed |= self.merge_leaving(message.leaving);
+        let evacuations_changed = self.evacuations.merge(message.evacuations);
+        self.log_evacuations(evacuations_changed);
+        self.install_replicas(evacuations_changed);
+        has_changed |= evacuations_changed;
         if let Some(delta) = message.replicas {
             let previous = self.registry.synced();
             let received = delta.synced;
@@ -284,9 +302,21 @@
         }
     }
 
+    fn log_evacuations(&self, changed: bool) {
+        if changed {
+            let names = self.evacuations.data_centres().join(" ");
+            let as_of = self.evacuations.as_of();
+            log_event(
+                Code::EvacuationsInForce,
+                "",
+                &format!("evacuated: [{names}] at store position {as_of}"),
+            );
+        }
+    }
+
     fn install_replicas(&self, changed: bool) {
         if changed {
-            self.core.set_replicas(&self.registry);
+            self.core.set_replicas(&self.registry, &self.evacuations);
             let usable = self.registry.usable().count();
             let detail = format!("{usable} usable replicas at store position {}", self.registry.synced());
             log_event(Code::ReplicasInForce, "", &detail);
--- a/crates/front/src/metrics_site.rs
+++ b/crates/front/src/metrics_site.rs
@@ -41,6 +41,7 @@
             ("store_age_ms", core.store_age(now).map_or(-1.0, |age| age.as_secs_f64() * 1000.0)),
             ("hosts", core.known_hosts() as f64),
             ("is_gatherer", f64::from(u8::from(core.is_gatherer()))),
+            ("evacuated_data_centres", core.evacuated_data_centres() as f64),
             ("targets", state.targets as f64),
             ("targets_avoided", state.ejected as f64),
             ("slots_in_use", state.in_flight as f64),
--- a/crates/front/src/store.rs
+++ b/crates/front/src/store.rs
@@ -3,7 +3,7 @@
 use std::{future::Future, time::Duration};
 
 use derive_more::{Display, Error};
-use egret_routes::{RegistryEntry, RouteTable, StorePosition};
+use egret_routes::{EvacuationChange, RegistryEntry, RouteTable, StorePosition};
 
 /// Why a call to the store failed.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
@@ -42,11 +42,14 @@
     pub tables: Vec<RouteTable>,
     /// Entries of replicas, in the order of their changes.
     pub replicas: Vec<RegistryEntry>,
+    /// Evacuations of data centres, in the order of their changes; a read of everything lists the
+    /// present ones.
+    pub evacuations: Vec<EvacuationChange>,
 }
 
 /// A read-only client of the platform's store.
 pub trait Store: Send + Sync + 'static {
-    /// Reads the newest configuration and all replicas.
+    /// Reads the newest configuration, all replicas and all evacuations.
     ///
     /// The answer is of one epoch and contains every change up to its position.
     fn read(&self) -> impl Future<Output = Result<StoreRead, StoreError>> + Send;
--- a/crates/members/src/gossip_message.rs
+++ b/crates/members/src/gossip_message.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use egret_model::{SuspectMark, Version, record};
-use egret_routes::{RegistryDelta, ReplicaRun, RouteTable, StorePosition};
+use egret_routes::{Evacuations, RegistryDelta, ReplicaRun, RouteTable, StorePosition};
 
 use crate::Member;
 
@@ -11,7 +11,7 @@
     /// The request and the reply of a gossip exchange.
     ///
     /// A message states the versions that its sender has, so that the reply can carry what the
-    /// sender lacks; only replies carry configurations and replicas. A receiver that is behind the
+    /// sender lacks; only replies carry configurations and replicas, which are large. A receiver that is behind the
     /// sender starts an exchange of its own.
     pub struct GossipMessage {
         /// The number of hosts that the sender knows, itself included.
@@ -37,5 +37,8 @@
         /// lists them as usable.
         #[serde(default)]
         pub leaving: Vec<ReplicaRun>,
+        /// The evacuated data centres as of at least `synced`, in requests and replies alike.
+        #[serde(default)]
+        pub evacuations: Evacuations,
     }
 }
--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -25,12 +25,15 @@
 //! ```
 //!
 //! - [`Registry`]: the replicas that registered themselves, with the [`StorePosition`] of each change.
+//! - [`Evacuations`]: the data centres whose replicas must get no requests.
 //! - [`TopRecords`], [`merge_top_records`]: the merge of the parts of a gather.
 //!
 //! docs/PLATFORM.md describes how route tables and registry entries reach every host.
 
 mod backend;
 mod caller_limits;
+mod evacuation_change;
+mod evacuations;
 mod gather_plan;
 mod history_gaps;
 mod leaving_runs;
@@ -50,6 +53,8 @@
 
 pub use backend::Backend;
 pub use caller_limits::CallerLimits;
+pub use evacuation_change::EvacuationChange;
+pub use evacuations::Evacuations;
 pub use gather_plan::GatherPlan;
 pub use merge::{RECORD_BYTES, merge_top_records};
 pub use registry::Registry;
