Hedge at most a quarter of the shards within one hedge delay

Ruled out: no hedges while more than a third of the parts are out; a data centre whose targets go dark together would then never be hedged.

Change: hedges go in waves of a quarter of the shards, one wave a hedge delay.

--- a/crates/policy/src/gather_progress.rs
+++ b/crates/policy/src/gather_progress.rs
@@ -21,6 +21,17 @@
     pub attempts_max: usize,
 }
 
+/// The share of the shards that may be hedged within one hedge delay. If more are overdue at once, this
+/// host, its connections or a whole data centre is slow, and hedges for all would double that load.
+const HEDGE_WAVE_SHARE: f64 = 0.25;
+
+/// The hedges that were sent within the present hedge delay.
+#[derive(Clone, Copy, Debug)]
+struct HedgeWave {
+    began_at: Instant,
+    hedges: usize,
+}
+
 /// What a gather does next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GatherStep {
@@ -76,6 +87,7 @@
     /// When the attempts that may be hedged were sent, the earliest first. Outdated entries are dropped
     /// only when they come first, so that no step looks at all shards.
     hedgeable: BinaryHeap<Reverse<(Instant, usize)>>,
+    wave: Option<HedgeWave>,
 }
 
 impl GatherProgress {
@@ -83,11 +95,14 @@
     #[must_use]
     pub fn new(shards: usize, limits: GatherLimits) -> Self {
         let states = vec![ShardState::default(); shards];
-        Self { limits, shards: states, received: 0, open: shards, hedgeable: BinaryHeap::new() }
+        Self { limits, shards: states, received: 0, open: shards, hedgeable: BinaryHeap::new(), wave: None }
     }
 
     /// Records an attempt sent to a replica of a shard.
     pub fn record_sent(&mut self, now: Instant, shard: usize) {
+        if self.shards[shard].outstanding > 0 {
+            self.record_hedge(now);
+        }
         self.change(shard, |state| {
             state.sent_at = Some(now);
             state.attempts += 1;
@@ -193,16 +208,30 @@
                 self.hedgeable.pop();
                 continue;
             }
-            let due_at = sent_at + hedge_delay;
-            return if due_at <= now {
-                GatherStep::Hedge(shard)
-            } else {
-                GatherStep::Wait(limit.min(due_at))
-            };
+            let due_at = (sent_at + hedge_delay).max(self.next_wave_at(now, hedge_delay));
+            if due_at > now {
+                return GatherStep::Wait(limit.min(due_at));
+            }
+            return GatherStep::Hedge(shard);
         }
         GatherStep::Wait(limit)
     }
 
+    /// Returns when the next hedge may be sent: now, or once the present wave has ended if it is full.
+    fn next_wave_at(&self, now: Instant, hedge_delay: Duration) -> Instant {
+        let hedges_max = ((self.shards.len() as f64 * HEDGE_WAVE_SHARE) as usize).max(1);
+        let full = self.wave.filter(|wave| wave.hedges >= hedges_max);
+        full.map_or(now, |wave| (wave.began_at + hedge_delay).max(now))
+    }
+
+    fn record_hedge(&mut self, now: Instant) {
+        let hedge_delay = self.limits.hedge_delay.unwrap_or_default();
+        let present = self.wave.filter(|wave| now < wave.began_at + hedge_delay);
+        let mut wave = present.unwrap_or(HedgeWave { began_at: now, hedges: 0 });
+        wave.hedges += 1;
+        self.wave = Some(wave);
+    }
+
     /// Changes a shard's state, and keeps the counts and the queue of hedges in step with it.
     fn change(&mut self, shard: usize, act: impl FnOnce(&mut ShardState)) {
         let state = &mut self.shards[shard];
