Keep the limit on requests to replicas that warm up, over all hosts

Cause: rule FAILBACK bounds the requests a second that a cold replica gets from all hosts together; nothing decoded cold_per_s, cold_start_s, cold_overage or cold_slack, and the remaining time of an entry never ran down: a replica stayed dearer until its next report.

Two ways weighed on the policy's test (145 hosts, 2 and 20 requests a second): equal shares of the largest fleet known give each host less than one request a second, so a host that sends at all exceeds its share, and 145 of them the bound; one owner a replica, by rendezvous hashing among the gatherers of its data centre, stays within it while up to three hosts take themselves for the owner.

Change: policy::WarmUpLimits, warm_up_owner, WarmUpWindow; front::TargetWarmUp runs down on the host's clock. A host owns nothing in its first 2 s or without the majority of its data centre. A replica that appears beside serving ones (started, or back from an evacuation) counts as cold for cold_start_s.

Ruled out: status checks for X-Cold-Ms; they are priced, and the store's entry tells the same.

--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -1,6 +1,7 @@
 //! The state of one host that all its requests share.
 
 use std::{
+    net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
@@ -72,6 +73,7 @@
     evacuated: AtomicUsize,
     gatherer_count: AtomicUsize,
     is_gatherer: AtomicBool,
+    warm_up_owners: Mutex<Vec<SocketAddr>>,
     /// Parts of gathers that this host asked for since the load was last computed.
     parts: AtomicU64,
     stopping: AtomicBool,
@@ -106,6 +108,7 @@
             evacuated: AtomicUsize::new(0),
             gatherer_count: AtomicUsize::new(0),
             is_gatherer: AtomicBool::new(false),
+            warm_up_owners: Mutex::default(),
             parts: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
             store_confirmed_at: Mutex::default(),
@@ -125,7 +128,10 @@
     /// Installs the replicas that may get requests: none in an evacuated data centre.
     pub(crate) fn set_replicas(&self, registry: &Registry, evacuations: &Evacuations) {
         let admitted = registry.usable().filter(|replica| !evacuations.contains(&replica.data_centre));
-        let next = self.targets.load().rebuild(now(), admitted, self.target_options());
+        let table = self.table.load();
+        let owners = lock(&self.warm_up_owners);
+        let options = self.target_options(table.as_deref(), &owners);
+        let next = self.targets.load().rebuild(now(), admitted, options);
         self.targets.store(Arc::new(next));
         self.evacuated.store(evacuations.data_centres().len(), Ordering::Relaxed);
     }
@@ -135,11 +141,19 @@
         self.evacuated.load(Ordering::Relaxed)
     }
 
-    fn target_options(&self) -> TargetOptions<'_> {
+    fn target_options<'a>(
+        &'a self,
+        table: Option<&'a RouteTable>,
+        warm_up_owners: &'a [SocketAddr],
+    ) -> TargetOptions<'a> {
         TargetOptions {
             data_centre: &self.options.data_centre,
             weigh_latency: self.is_enabled(Mechanism::LatencyWeighting),
             eject_failing: self.is_enabled(Mechanism::Ejection),
+            table,
+            warm_up_limits: self.options.warm_up_limits,
+            own: self.options.gathers,
+            warm_up_owners,
         }
     }
 
@@ -147,11 +161,20 @@
         self.hosts.store(hosts, Ordering::Relaxed);
     }
 
+    /// Sets the hosts of this data centre that may own replicas that warm up; returns whether they
+    /// changed, so that the targets have to be installed again.
+    pub(crate) fn set_warm_up_owners(&self, owners: Vec<SocketAddr>) -> bool {
+        let mut known = lock(&self.warm_up_owners);
+        let has_changed = *known != owners;
+        *known = owners;
+        has_changed
+    }
+
     /// Installs the hosts that gather, as replicas of services named after their data centres.
     pub(crate) fn set_gatherers(&self, gatherers: &[Replica]) {
         let own = self.options.gathers;
         let others = gatherers.iter().filter(|gatherer| gatherer.address != own);
-        let next = self.gatherers.load().rebuild(now(), others, self.target_options());
+        let next = self.gatherers.load().rebuild(now(), others, self.target_options(None, &[]));
         self.gatherers.store(Arc::new(next));
         self.gatherer_count.store(gatherers.len(), Ordering::Relaxed);
         let is_gatherer = gatherers.iter().any(|gatherer| gatherer.address == own);
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -99,7 +99,7 @@
 ) -> ExchangeResult {
     loop {
         let connection = connect(core, target, options).await;
-        let Some(mut connection) = connection.filter(|_| target.accepts_requests(now())) else {
+        let Some(mut connection) = connection.filter(|_| target.try_send(now())) else {
             return ExchangeResult::NotSent;
         };
         connection.allowance.set(HEAD_BYTES_MAX);
--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -26,6 +26,9 @@
 /// costs the store nothing, and comes half-way to [`STORE_AGE_MAX`], after which the host would read
 /// the store itself.
 const STORE_INFO_STALE_AFTER: Duration = Duration::from_millis(1500);
+/// How long after its start a host joins the fleet: it gossips more often, half of the time with a
+/// seed, since every other host that starts contacts the seeds too.
+pub(crate) const JOIN_PERIOD: Duration = Duration::from_millis(2000);
 /// Bounds of the random time for which a starting host waits for gossip before it reads the store.
 /// A running fleet sends everything within a few exchanges. When a whole fleet starts, the hosts that
 /// read first gossip what they read, and the seeds may be the last to start.
@@ -134,8 +137,13 @@
             return false;
         }
         log_event(Code::ConfigInForce, "", &format!("version {}", table.version()));
+        let has_other_services = self.table.as_ref().is_none_or(|known| known.services() != table.services());
         self.core.set_table(Arc::clone(&table));
         self.table = Some(table);
+        if has_other_services {
+            // The targets follow the services' limits.
+            self.core.set_replicas(&self.registry, &self.evacuations);
+        }
         true
     }
 
@@ -282,6 +290,23 @@
             self.core.set_gatherers(&chosen);
             self.gatherers = chosen;
         }
+        let owners_changed = self.core.set_warm_up_owners(self.warm_up_owners(now));
+        if owners_changed && self.table.as_ref().is_some_and(|table| table.limits_warm_up()) {
+            self.core.set_replicas(&self.registry, &self.evacuations);
+        }
+    }
+
+    /// Returns the hosts of this data centre that may own replicas that warm up: its gatherers, or none
+    /// while this host may not know the fleet or sees no majority of the data centre.
+    ///
+    /// Without the majority, each host that is cut off from the others would take itself for the owner.
+    fn warm_up_owners(&self, now: Instant) -> Vec<SocketAddr> {
+        let own = &self.core.options.data_centre;
+        if self.membership.uptime(now) < JOIN_PERIOD || !self.membership.sees_majority(own) {
+            return Vec::new();
+        }
+        let near = self.gatherers.iter().filter(|gatherer| gatherer.data_centre == *own);
+        near.map(|gatherer| gatherer.address).collect()
     }
 
     fn version(&self) -> Version {
--- a/crates/front/src/gossip.rs
+++ b/crates/front/src/gossip.rs
@@ -17,7 +17,7 @@
 use crate::{
     clock::now,
     core::{Core, lock},
-    fleet_view::FleetView,
+    fleet_view::{FleetView, JOIN_PERIOD},
 };
 
 /// The path on which a host receives gossip.
@@ -30,9 +30,6 @@
 /// The time between the first two rounds of a host that is bootstrapping; it doubles with each
 /// round up to [`GOSSIP_INTERVAL`].
 const BOOTSTRAP_INTERVAL: Duration = Duration::from_millis(50);
-/// How long after its start a host joins the fleet: it gossips more often, half of the time with a
-/// seed, since every other host that starts contacts the seeds too.
-const JOIN_PERIOD: Duration = Duration::from_millis(2000);
 /// The mean time between two exchanges of a host that joins. A seed on a tenth of a core answers
 /// several hundred hosts that do so.
 const JOIN_INTERVAL: Duration = Duration::from_millis(250);
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -59,6 +59,7 @@
 mod target;
 mod target_answer;
 mod target_set;
+mod target_warm_up;
 mod timed_io;
 
 pub use deletion_guard::{DELETION_HOLD, DeletionGuard};
--- a/crates/front/src/options.rs
+++ b/crates/front/src/options.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use egret_policy::RetryLimits;
+use egret_policy::{RetryLimits, WarmUpLimits};
 
 use crate::{DisabledMechanisms, HeaderNames};
 
@@ -35,6 +35,8 @@
     /// Limits the extra attempts that all hosts together may send beyond the first attempt at each
     /// request.
     pub retry_limits: RetryLimits,
+    /// Limits the requests that all hosts together may send to a replica that warms up.
+    pub warm_up_limits: WarmUpLimits,
     /// The time from the signal to stop until the process must have exited.
     pub grace: Duration,
     /// How long after a change a request may still be handled by the older configuration.
--- a/crates/front/src/target.rs
+++ b/crates/front/src/target.rs
@@ -12,10 +12,7 @@
 use egret_routes::Replica;
 use tokio::sync::Notify;
 
-use crate::{clock::now, connection::Connection, target_set::TargetOptions};
-
-/// The cost of a target that has just started, relative to that of a warm one.
-const WARM_UP_COST_FACTOR: f64 = 1.6;
+use crate::{clock::now, connection::Connection, target_set::TargetOptions, target_warm_up::TargetWarmUp};
 
 /// One run of one replica, as this host sees it. A restarted replica is a new target.
 #[derive(Debug)]
@@ -36,16 +33,19 @@
 #[derive(Debug)]
 pub(crate) struct TargetState {
     pub(crate) load: TargetLoad,
+    pub(crate) warm_up: TargetWarmUp,
     pub(crate) idle_connections: Vec<Connection>,
     /// Connections of this host to the target that are open or being opened, idle ones included.
     pub(crate) open_connections: usize,
 }
 
 impl Target {
-    pub(crate) fn new(replica: Replica, options: TargetOptions<'_>) -> Self {
+    pub(crate) fn new(now: Instant, replica: Replica, options: TargetOptions<'_>) -> Self {
         let is_local = *replica.data_centre == *options.data_centre;
         let load = TargetLoad::new(replica.slots);
-        let state = Mutex::new(TargetState { load, idle_connections: Vec::new(), open_connections: 0 });
+        let warm_up = TargetWarmUp::new(now, &replica);
+        let idle_connections = Vec::new();
+        let state = Mutex::new(TargetState { load, warm_up, idle_connections, open_connections: 0 });
         Self {
             replica,
             is_local,
@@ -89,7 +89,12 @@
 
     /// Returns whether requests may be sent to the target.
     pub(crate) fn accepts_requests(&self, now: Instant) -> bool {
-        !self.is_retired() && self.backoff_left(now).is_zero()
+        !self.is_retired() && self.backoff_left(now).is_zero() && self.state().warm_up.admits(now)
+    }
+
+    /// Counts a request that is about to be sent; returns whether it may be sent.
+    pub(crate) fn try_send(&self, now: Instant) -> bool {
+        self.accepts_requests(now) && self.state().warm_up.try_send(now)
     }
 
     /// Returns whether the target was removed from the registry or announced that it leaves.
@@ -99,12 +104,14 @@
 
     /// Returns the expected latency of one more request, in typical latencies.
     pub(crate) fn cost(&self, now: Instant) -> f64 {
-        self.state().load.cost(now) * self.warm_up_factor()
+        let state = self.state();
+        state.load.cost(now) * state.warm_up.cost_factor(now)
     }
 
     /// Returns the cost with the given slowness as the prior for what is not known of the target.
     pub(crate) fn cost_with_prior(&self, now: Instant, slowness: f64) -> f64 {
-        self.state().load.cost_with_prior(now, slowness) * self.warm_up_factor()
+        let state = self.state();
+        state.load.cost_with_prior(now, slowness) * state.warm_up.cost_factor(now)
     }
 
     /// Returns the estimated ratio of the target's latency to the typical one, without its queue.
@@ -112,10 +119,6 @@
         self.state().load.slowness(now)
     }
 
-    fn warm_up_factor(&self) -> f64 {
-        if self.replica.warm_up_ms > 0 { WARM_UP_COST_FACTOR } else { 1.0 }
-    }
-
     /// Returns whether the target seems to have a free slot.
     pub(crate) fn has_free_slot(&self, now: Instant) -> bool {
         self.state().load.has_free_slot(now)
--- a/crates/front/src/target_set.rs
+++ b/crates/front/src/target_set.rs
@@ -1,12 +1,13 @@
 //! The targets that requests may be sent to, by service, and the choice among them.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use egret_policy::ShardEstimate;
-use egret_routes::Replica;
+use egret_policy::{ShardEstimate, WarmUpLimits, warm_up_owner};
+use egret_routes::{Replica, RouteTable, WarmUp};
 
 use crate::target::Target;
 
@@ -48,6 +49,30 @@
     pub(crate) weigh_latency: bool,
     /// Whether targets that fail are ejected for a while.
     pub(crate) eject_failing: bool,
+    /// The configuration in force.
+    pub(crate) table: Option<&'a RouteTable>,
+    pub(crate) warm_up_limits: WarmUpLimits,
+    /// The address at which this host gathers, by which it owns replicas that warm up.
+    pub(crate) own: SocketAddr,
+    /// The hosts of this data centre that may own replicas that warm up.
+    pub(crate) warm_up_owners: &'a [SocketAddr],
+}
+
+impl TargetOptions<'_> {
+    fn warm_up(&self, service: &str) -> Option<WarmUp> {
+        self.table?.service(service)?.warm_up
+    }
+
+    /// Returns the requests per second that this host may send to a replica that warms up and that it
+    /// owns; `None` if its service sets no limit.
+    fn warm_up_quota(&self, service: &str) -> Option<usize> {
+        self.warm_up(service).map(|warm_up| self.warm_up_limits.owner_quota(warm_up.requests_per_s))
+    }
+
+    fn owns_warm_up(&self, replica: &Replica) -> bool {
+        *replica.data_centre == *self.data_centre
+            && warm_up_owner(&replica.id, self.warm_up_owners) == Some(self.own)
+    }
 }
 
 /// The targets of one service.
@@ -77,15 +102,27 @@
     ) -> Self {
         let mut next = Self::default();
         for replica in replicas {
+            // A replica that is new to a host which serves has just started, or was evacuated.
+            let is_serving = !self.targets_of(&replica.service).is_empty();
             let known = self.targets_of(&replica.service).iter().find(|target| target.is_same(replica));
             let target = known.cloned().unwrap_or_else(|| {
-                let target = Target::new(replica.clone(), options);
+                let target = Target::new(now, replica.clone(), options);
+                if let Some(warm_up) = options.warm_up(&replica.service).filter(|_| is_serving) {
+                    let duration = Duration::from_millis(warm_up.duration_ms);
+                    target.state().warm_up.extend(now, duration);
+                }
                 if let Some(earlier) = self.removed_in_backoff.iter().find(|earlier| earlier.is_same(replica))
                 {
                     target.state().load.inherit_backoff(&earlier.state().load);
                 }
                 Arc::new(target)
             });
+            {
+                let warm_up = &mut target.state().warm_up;
+                warm_up.observe(now, replica);
+                warm_up.set_quota(options.warm_up_quota(&replica.service));
+                warm_up.set_owner(options.owns_warm_up(replica));
+            }
             next.add(target);
         }
         for target in self.services.iter().flat_map(|entry| &entry.targets) {
--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -158,6 +158,16 @@
         std::iter::once(&self.own).chain(peers.filter(|member| member.state == MemberState::Live))
     }
 
+    /// Returns whether this host and those that nobody suspects are more than half of the known hosts of
+    /// a data centre, including those that were lost within [`GONE_RETENTION`].
+    #[must_use]
+    pub fn sees_majority(&self, data_centre: &str) -> bool {
+        let known = self.peers.iter().filter(|peer| *peer.member.data_centre == *data_centre).count();
+        let unsuspected = self.unsuspected().filter(|member| *member.data_centre == *data_centre).count();
+        // The known peers and this host.
+        2 * unsuspected > known + 1
+    }
+
     /// Returns the number of known hosts, including those that were lost within [`GONE_RETENTION`].
     #[must_use]
     pub fn size(&self) -> usize {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -38,6 +38,7 @@
 //! - [`GatherProgress`], [`choose_shards`]: hedges, early answers and skipped shards of a gather.
 //! - [`TargetLoad`], [`RetryBudget`]: load estimates and limits on extra attempts at
 //!   targets.
+//! - [`WarmUpLimits`], [`warm_up_owner`]: the limit on requests to a replica that warms up.
 //! - [`LeadTimeEstimator`]: how long before its latency objective an answer must be made.
 //!
 //! docs/DESIGN.md explains the trade-offs of each.
@@ -68,6 +69,7 @@
 mod ticket;
 mod ticket_registry;
 mod token_bucket;
+mod warm_up;
 mod weighted_draw;
 mod work;
 
@@ -94,5 +96,6 @@
 pub use ticket::{Ticket, TicketError};
 pub use ticket_registry::{Claim, TicketRegistry};
 pub use token_bucket::TokenBucket;
+pub use warm_up::{WarmUpLimits, WarmUpWindow, warm_up_owner};
 pub use weighted_draw::weighted_draw;
 pub use work::{Admission, Completion, Decision, OfferOutcome, Refused, Work, WorkId};
--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -49,6 +49,7 @@
 mod store_position;
 mod table;
 mod top_records;
+mod warm_up;
 mod weighted_service;
 
 pub use backend::Backend;
@@ -67,4 +68,5 @@
 pub use store_position::StorePosition;
 pub use table::RouteTable;
 pub use top_records::TopRecords;
+pub use warm_up::WarmUp;
 pub use weighted_service::WeightedService;
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -62,6 +62,18 @@
         self.routes.iter().find(|route| *route.name == *name)
     }
 
+    /// Returns all services, sorted by name.
+    #[must_use]
+    pub fn services(&self) -> &[Service] {
+        &self.services
+    }
+
+    /// Returns whether replicas of any service tolerate only a limited rate while they warm up.
+    #[must_use]
+    pub fn limits_warm_up(&self) -> bool {
+        self.services.iter().any(|service| service.warm_up.is_some())
+    }
+
     /// Finds a service by its name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Service> {
