--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -270,7 +270,7 @@
         has_changed
     }
 
-    /// Recomputes which hosts gather, and installs them if they changed.
+    /// Recomputes which hosts gather and which own replicas that warm up, and installs what changed.
     pub(crate) fn choose_gatherers(&mut self, now: Instant) {
         let hosts: Vec<GathererCandidate> = self.membership.live(now).map(gatherer_candidate).collect();
         let mut names: Vec<&Arc<str>> = hosts.iter().map(|host| &host.data_centre).collect();
--- a/crates/front/src/target_set.rs
+++ b/crates/front/src/target_set.rs
@@ -102,7 +102,7 @@
     ) -> Self {
         let mut next = Self::default();
         for replica in replicas {
-            // A replica that is new to a host which serves has just started, or was evacuated.
+            // A replica that appears beside others of its service has just started, or was evacuated.
             let is_serving = !self.targets_of(&replica.service).is_empty();
             let known = self.targets_of(&replica.service).iter().find(|target| target.is_same(replica));
             let target = known.cloned().unwrap_or_else(|| {
--- a/crates/front/src/target_warm_up.rs
+++ b/crates/front/src/target_warm_up.rs
@@ -43,6 +43,7 @@
         }
     }
 
+    /// Sets how many requests this host may send to the cold target within a second, `None` without limit.
     pub(crate) fn set_quota(&mut self, quota: Option<usize>) {
         self.quota = quota;
     }
