Let hosts of two builds read each other's gossip

Callers saw: during an upgrade, requests handled by an outdated configuration (CONFIG). Class: an encoding that has to be equal on both sides, without a number that says whether it is. Change: a member states the number of its layout.

--- a/crates/front/src/gossip.rs
+++ b/crates/front/src/gossip.rs
@@ -10,8 +10,8 @@
 };
 
 use egret_events::{Code, log_event};
-use egret_members::GossipMessage;
-use egret_node::{HttpClient, HttpHandler, HttpRequest, Reply};
+use egret_members::{GossipMessage, Member};
+use egret_node::{ExchangeError, HttpClient, HttpHandler, HttpRequest, Reply};
 use tokio::sync::Notify;
 
 use crate::{
@@ -204,9 +204,7 @@
     /// suspect.
     async fn exchange(&self, peer: SocketAddr, timeout: Duration) {
         let is_joining = self.is_joining();
-        let message = lock(&self.fleet).gossip_message(now());
-        let reply =
-            self.client.post_msgpack_compact::<GossipMessage>(peer, GOSSIP_PATH, &message, timeout).await;
+        let reply = self.send(peer, timeout).await;
         let has_changed = {
             let mut fleet = lock(&self.fleet);
             match reply {
@@ -229,6 +227,24 @@
         }
     }
 
+    /// Sends this host's message to a peer and returns the reply.
+    ///
+    /// Field names cost bytes, but builds that lack some of the fields need them.
+    async fn send(&self, peer: SocketAddr, timeout: Duration) -> Result<GossipMessage, ExchangeError> {
+        let (message, reads_compact) = {
+            let mut fleet = lock(&self.fleet);
+            (fleet.gossip_message(now()), fleet.membership.reads_compact(peer))
+        };
+        if reads_compact {
+            let reply = self.client.post_msgpack_compact(peer, GOSSIP_PATH, &message, timeout).await;
+            if !matches!(reply, Err(ExchangeError::BadAnswer { .. })) {
+                return reply;
+            }
+            // The peer may have been replaced by another build.
+        }
+        self.client.post_msgpack(peer, GOSSIP_PATH, &message, timeout).await
+    }
+
     /// Starts an exchange with a peer that is ahead of this host, unless such an exchange runs.
     fn catch_up(&self, peer: SocketAddr) {
         if self.is_catching_up.swap(true, Ordering::SeqCst) {
@@ -254,6 +270,7 @@
         let Ok(message) = egret_wire::decode::<GossipMessage>(&call.body) else {
             return Reply::text(400, "the message cannot be read: check the sender's version\n");
         };
+        let reads_compact = message.members.first().is_some_and(Member::reads_compact);
         let sender = message.members.first().map(|member| member.address);
         let (reply, is_behind, has_changed) = {
             let mut fleet = lock(&self.0.fleet);
@@ -268,7 +285,7 @@
         if let Some(sender) = sender.filter(|_| is_behind) {
             self.0.catch_up(sender);
         }
-        Reply::msgpack_compact(&reply)
+        if reads_compact { Reply::msgpack_compact(&reply) } else { Reply::msgpack(&reply) }
     }
 }
 
--- a/crates/members/src/gossip_message.rs
+++ b/crates/members/src/gossip_message.rs
@@ -7,6 +7,12 @@
 
 use crate::Member;
 
+/// Numbers the fields of [`GossipMessage`] and of the types in it, and their order.
+///
+/// Without field names, a message is read by position and only by builds with the same fields. Raise
+/// this with each change of the fields; those that are added need a default. See docs/DESIGN.md.
+pub const COMPACT_LAYOUT: u32 = 1;
+
 record! {
     /// The request and the reply of a gossip exchange.
     ///
--- a/crates/members/src/member.rs
+++ b/crates/members/src/member.rs
@@ -4,7 +4,7 @@
 
 use egret_model::record;
 
-use crate::MemberState;
+use crate::{COMPACT_LAYOUT, MemberState};
 
 record! {
     /// One run of one host, as other hosts see it.
@@ -27,11 +27,14 @@
         pub millicores: u32,
         /// Requests for parts of gathers that it sends to targets per second; a coarse average.
         pub parts_per_s: u32,
+        /// The [`COMPACT_LAYOUT`] of its build; 0 for builds that do not state it.
+        #[serde(default)]
+        pub layout: u32,
     }
 }
 
 impl Member {
-    /// Creates the description of a host that just started.
+    /// Creates the description of a host of this build that just started.
     #[must_use]
     pub fn new(address: SocketAddr, data_centre: impl Into<Arc<str>>, incarnation: u64) -> Self {
         Self {
@@ -42,9 +45,16 @@
             store_reachable: true,
             millicores: 0,
             parts_per_s: 0,
+            layout: COMPACT_LAYOUT,
         }
     }
 
+    /// Returns whether the host reads messages of this build that have no field names.
+    #[must_use]
+    pub fn reads_compact(&self) -> bool {
+        self.layout == COMPACT_LAYOUT
+    }
+
     /// Returns whether this description replaces another one of the same host.
     pub(crate) fn overrides(&self, other: &Self) -> bool {
         (self.incarnation, self.state) > (other.incarnation, other.state)
--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -245,6 +245,12 @@
         fastrand::choose_multiple(self.live_peers(now).cloned(), max)
     }
 
+    /// Returns whether a peer is known to read messages of this build that have no field names.
+    #[must_use]
+    pub fn reads_compact(&self, address: SocketAddr) -> bool {
+        self.find(address).is_ok_and(|at| self.peers[at].member.reads_compact())
+    }
+
     /// Returns how long this host has been running.
     #[must_use]
     pub fn uptime(&self, now: Instant) -> Duration {
