Read the store when peers have changes that they do not send

Callers saw: a host kept an older configuration for as long as it ran, and answered 404 for a route that had been added, while other hosts reached it (CONFIG, DENIED). Cause: a host took over another host's statement that the store had answered a moment ago, without the changes that the other host had got. So its own knowledge looked fresh, it did not read the store, and it trusted its outdated table enough for a 404. Class: a freshness that is passed on apart from the data it speaks of. Change: the store's answer to another host counts here only once this host has the same changes, and a host that lacks stated changes for half a second reads the store itself. Ruled out: the catch-up exchange that a message starts; it is one connection to the same peer.

--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -7,7 +7,7 @@
 };
 
 use egret_events::{Code, log_event};
-use egret_members::{GossipMessage, Member, Membership};
+use egret_members::{GossipMessage, Member, Membership, StatedChanges};
 use egret_model::Version;
 use egret_policy::{GathererCandidate, choose_gatherers, store_readers};
 use egret_routes::{Evacuations, Registry, Replica, ReplicaRun, RouteTable, StorePosition};
@@ -26,6 +26,10 @@
 /// costs the store nothing, and comes half-way to [`STORE_AGE_MAX`], after which the host would read
 /// the store itself.
 const STORE_INFO_STALE_AFTER: Duration = Duration::from_millis(1500);
+/// A host that has heard of changes which it lacks reads the store itself after this time: the host that
+/// has them does not answer, or not with those changes. An exchange that succeeds takes a few
+/// milliseconds.
+const CATCH_UP_MAX: Duration = Duration::from_millis(500);
 /// How long after its start a host joins the fleet: it gossips more often, half of the time with a
 /// seed, since every other host that starts contacts the seeds too.
 pub(crate) const JOIN_PERIOD: Duration = Duration::from_millis(2000);
@@ -56,6 +60,8 @@
     table: Option<Arc<RouteTable>>,
     /// When the latest answered call to the store was sent, by this or another host.
     store_confirmed_at: Option<Instant>,
+    /// Since when other hosts state changes that this host lacks.
+    behind_since: Option<Instant>,
     /// The hosts that gather, as targets of a service named after their data centre.
     gatherers: Vec<Replica>,
     /// How long this host waits for gossip after its start before it reads the store itself.
@@ -71,6 +77,7 @@
             evacuations: Evacuations::default(),
             table: None,
             store_confirmed_at: None,
+            behind_since: None,
             gatherers: Vec::new(),
             bootstrap_delay: draw_bootstrap_delay(),
         }
@@ -79,7 +86,8 @@
     /// Returns whether this host has to read the store now.
     ///
     /// Readers always do; other hosts only when gossip has brought them no recent answer of
-    /// the store. A seed does not wait for gossip when it starts.
+    /// the store, or not the changes that other hosts have. A seed does not wait for gossip when it
+    /// starts.
     pub(crate) fn must_read_store(&self, now: Instant) -> bool {
         let age = match self.store_confirmed_at {
             Some(at) => now.saturating_duration_since(at),
@@ -89,7 +97,10 @@
             let own = self.membership.own().address;
             return self.core.options.seeds.contains(&own);
         }
-        self.store_confirmed_at.is_none() || age > STORE_AGE_MAX || self.is_reader()
+        self.store_confirmed_at.is_none()
+            || age > STORE_AGE_MAX
+            || self.behind_since.is_some_and(|since| now.saturating_duration_since(since) > CATCH_UP_MAX)
+            || self.is_reader()
     }
 
     /// Returns the hosts that read the store for the whole fleet.
@@ -177,6 +188,7 @@
             has_changed |= self.install_table(Arc::new(table));
         }
         self.confirm_store(sent_at);
+        self.behind_since = None;
         Ok(has_changed)
     }
 
@@ -226,13 +238,13 @@
     }
 
     /// Returns whether the sender of a message has changes that this host lacks.
-    pub(crate) fn is_behind(&self, message: &GossipMessage) -> bool {
+    pub(crate) fn is_behind(&self, stated: StatedChanges) -> bool {
         let (synced, changed) = (self.registry.synced(), self.registry.last_change());
-        message.version > self.version()
-            || message.changed > changed
-            || message.synced > synced && message.changed > synced
-            || message.synced.epoch > synced.epoch
-            || synced.is_epoch_start() && message.synced > synced
+        stated.version > self.version()
+            || stated.changed > changed
+            || stated.synced > synced && stated.changed > synced
+            || stated.synced.epoch > synced.epoch
+            || synced.is_epoch_start() && stated.synced > synced
     }
 
     /// Merges another host's message; returns whether it changed the configuration or the replicas
@@ -245,11 +257,8 @@
             }
         }
         self.core.set_hosts(self.membership.size());
-        if let Some(age_ms) = message.store_age_ms
-            && let Some(at) = now.checked_sub(Duration::from_millis(age_ms))
-        {
-            self.confirm_store(at);
-        }
+        let stated = message.stated_changes();
+        let store_age_ms = message.store_age_ms;
         for mark in message.marks {
             self.core.suspects().merge_mark(now, mark);
         }
@@ -267,6 +276,15 @@
             self.install_replicas(is_new);
             has_changed |= is_new;
         }
+        if self.is_behind(stated) {
+            self.behind_since.get_or_insert(now);
+            return has_changed;
+        }
+        self.behind_since = None;
+        // The store's answer to another host says nothing about this host before it has the same changes.
+        if let Some(at) = store_age_ms.and_then(|ms| now.checked_sub(Duration::from_millis(ms))) {
+            self.confirm_store(at);
+        }
         has_changed
     }
 
--- a/crates/front/src/gossip.rs
+++ b/crates/front/src/gossip.rs
@@ -275,7 +275,7 @@
         let (reply, is_behind, has_changed) = {
             let mut fleet = lock(&self.0.fleet);
             let reply = fleet.reply_to(now(), &message);
-            let is_behind = fleet.is_behind(&message);
+            let is_behind = fleet.is_behind(message.stated_changes());
             let has_changed = fleet.merge_message(now(), message);
             (reply, is_behind, has_changed)
         };
--- a/crates/members/src/gossip_message.rs
+++ b/crates/members/src/gossip_message.rs
@@ -48,3 +48,22 @@
         pub evacuations: Evacuations,
     }
 }
+
+/// The versions that the sender of a message has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StatedChanges {
+    /// The version of its configuration.
+    pub version: Version,
+    /// The position in the store up to which it knows all changes of replicas.
+    pub synced: StorePosition,
+    /// The position of the latest change of a replica that it knows.
+    pub changed: StorePosition,
+}
+
+impl GossipMessage {
+    /// Returns the versions that the sender has.
+    #[must_use]
+    pub fn stated_changes(&self) -> StatedChanges {
+        StatedChanges { version: self.version, synced: self.synced, changed: self.changed }
+    }
+}
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -26,7 +26,7 @@
 mod member_state;
 mod membership;
 
-pub use gossip_message::{COMPACT_LAYOUT, GossipMessage};
+pub use gossip_message::{COMPACT_LAYOUT, GossipMessage, StatedChanges};
 pub use member::Member;
 pub use member_state::MemberState;
 pub use membership::{GONE_RETENTION, Membership, SUSPICION_TIMEOUT};
