Divide the request limit that a target states among the hosts

Cause: nothing read the header. Class: a bound over all hosts that each host sees only its part of. Change: the hosts that send to a target take equal shares of its limit as token buckets, and fewer hosts share a small one; room is taken when a target is chosen, also by hedges, retries and parts, and a gather that finds too little is refused before anything is sent. A host that just started has no share.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -120,6 +120,8 @@
     HostSuspected = 517, "host suspected";
     /// A target asked this host to send no requests for a while.
     TargetClosed = 519, "target asked for a pause";
+    /// A target stated how many requests it takes.
+    TargetLimited = 523, "target limits requests";
     /// The platform dropped the history after the last known revision.
     StoreHistoryLost = 518, "platform history lost";
     /// The platform's store was restored from a backup.
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -11,7 +11,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use egret_events::{Code, log_event};
-use egret_policy::{AnswerDelivery, CallerBudgets, LeadTimeEstimator, RetryBudget, Suspects};
+use egret_policy::{AnswerDelivery, CallerBudgets, LeadTimeEstimator, LimitShare, RetryBudget, Suspects};
 use egret_routes::{Backend, Evacuations, RECORD_BYTES, Registry, Replica, ReplicaRun, Route, RouteTable};
 use tokio::sync::Notify;
 
@@ -22,6 +22,7 @@
     clock::now,
     connection::Connection,
     instruments::Instruments,
+    limit_sharers::LimitSharers,
     route_latency::RouteLatency,
     target::Target,
     target_set::{TargetOptions, TargetSet},
@@ -74,6 +75,8 @@
     gatherer_count: AtomicUsize,
     is_gatherer: AtomicBool,
     warm_up_owners: Mutex<Vec<SocketAddr>>,
+    /// The hosts that share the limits of targets.
+    limit_sharers: ArcSwap<LimitSharers>,
     /// Parts of gathers that this host asked for since the load was last computed.
     parts: AtomicU64,
     stopping: AtomicBool,
@@ -109,6 +112,7 @@
             gatherer_count: AtomicUsize::new(0),
             is_gatherer: AtomicBool::new(false),
             warm_up_owners: Mutex::default(),
+            limit_sharers: ArcSwap::default(),
             parts: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
             store_confirmed_at: Mutex::default(),
@@ -170,6 +174,20 @@
         has_changed
     }
 
+    /// Sets the hosts that share the limits which targets state.
+    pub(crate) fn set_limit_sharers(&self, sharers: LimitSharers) {
+        if **self.limit_sharers.load() != sharers {
+            self.limit_sharers.store(Arc::new(sharers));
+            self.targets.load().set_limit_shares(now(), |replica| self.limit_share(replica));
+        }
+    }
+
+    /// Returns the place of this host among those that share a replica's limit.
+    pub(crate) fn limit_share(&self, replica: &Replica) -> LimitShare {
+        let is_shard = self.table.load().as_ref().is_some_and(|table| table.is_shard(&replica.service));
+        self.limit_sharers.load().share(self.options.gathers, replica, is_shard)
+    }
+
     /// Installs the hosts that gather, as replicas of services named after their data centres.
     pub(crate) fn set_gatherers(&self, gatherers: &[Replica]) {
         let own = self.options.gathers;
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -65,6 +65,8 @@
     let mut running = InFlightGuard::begin(Arc::clone(&target), now(), options.typical_latency);
     let result = send(&core, &target, &req, options).await;
     let end = match &result {
+        // The target was not tried: it takes no requests now.
+        ExchangeResult::NotSent if !target.accepts_chosen_requests(now()) => ExchangeEnd::Abandoned,
         ExchangeResult::Success(_) => ExchangeEnd::Answered,
         ExchangeResult::Failure(_) | ExchangeResult::Lost(_) => ExchangeEnd::Failed,
         ExchangeResult::NotRun(StatusCode::MISDIRECTED_REQUEST) | ExchangeResult::NotSent => {
@@ -99,7 +101,8 @@
 ) -> ExchangeResult {
     loop {
         let connection = connect(core, target, options).await;
-        let Some(mut connection) = connection.filter(|_| target.try_send(now())) else {
+        let sent_at = now();
+        let Some(mut connection) = connection.filter(|_| target.try_send(sent_at)) else {
             return ExchangeResult::NotSent;
         };
         connection.allowance.set(HEAD_BYTES_MAX);
@@ -114,6 +117,7 @@
                 return ExchangeResult::Lost(loss_cause(&connection));
             }
         };
+        apply_target_state(core, target, sent_at, &res);
         return receive(core, target, req, options, connection, res).await;
     }
 }
@@ -126,7 +130,7 @@
         // Created before the target's state is checked: if the target retires or backs off in
         // between, this exchange is woken all the same.
         let freed = target.connection_freed.notified();
-        if !target.accepts_requests(now()) {
+        if !target.accepts_chosen_requests(now()) {
             return None;
         }
         if !options.new_connection_only
@@ -173,7 +177,6 @@
 ) -> ExchangeResult {
     let names = &core.options.headers;
     let (head, body) = res.into_parts();
-    apply_target_state(core, target, head.status, &head.headers);
     if head.headers.get(&names.request_id).is_some_and(|id| *id != req.id) {
         return ExchangeResult::Lost(LossCause::Foreign);
     }
@@ -244,16 +247,18 @@
 }
 
 /// Applies what an answer says about its target, whichever request the answer belongs to: that the
-/// target leaves, or that it asks for no requests for a time.
-fn apply_target_state(core: &Core, target: &Target, status: StatusCode, headers: &HeaderMap) {
+/// target leaves, that it asks for no requests for a time, or how many it takes.
+fn apply_target_state(core: &Core, target: &Target, sent_at: Instant, res: &Response<Incoming>) {
     let names = &core.options.headers;
+    let (status, headers) = (res.status(), res.headers());
+    apply_request_limit(core, target, sent_at, headers);
     if headers.get_all(&names.leaving).iter().any(|value| value.as_bytes().trim_ascii() == b"1") {
         core.retire_target(target);
     }
     if status == StatusCode::SERVICE_UNAVAILABLE
         && let Some(wanted) = retry_after(headers)
     {
-        let accepted_requests = target.accepts_requests(now());
+        let accepted_requests = target.accepts_chosen_requests(now());
         target.back_off(now(), wanted);
         if accepted_requests {
             let detail = format!(
@@ -265,6 +270,25 @@
     }
 }
 
+/// Applies the limit on requests that an answer states. A value that is no rate changes nothing.
+fn apply_request_limit(core: &Core, target: &Target, sent_at: Instant, headers: &HeaderMap) {
+    let values = headers.get_all(&core.options.headers.request_limit);
+    let rates = values.iter().filter_map(|value| value.to_str().ok()?.trim().parse::<f64>().ok());
+    let per_s = rates.filter(|per_s| per_s.is_finite() && *per_s >= 0.0).reduce(f64::min);
+    if per_s.is_none() && values.iter().next().is_some() {
+        return;
+    }
+    if target.state_limit(now(), sent_at, per_s, || core.limit_share(&target.replica)) {
+        let detail = format!(
+            "target {} of service {} takes {} requests per second from all hosts",
+            target.replica.id,
+            target.replica.service,
+            per_s.unwrap_or_default()
+        );
+        log_event(Code::TargetLimited, "", &detail);
+    }
+}
+
 fn apply_load_report(core: &Core, target: &Target, headers: &HeaderMap, typical_latency: Duration) {
     let load = headers.get(&core.options.headers.load).and_then(|value| value.to_str().ok());
     let mut numbers =
--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -105,11 +105,17 @@
     for (gatherer, shards) in gatherers {
         running.push(fan_out.call_remote_gatherer(gatherer, shards).boxed());
     }
+    let mut attempts = Vec::new();
     for shard in 0..services.len() {
         if !fan_out.progress.is_abandoned(shard) && !fan_out.progress.has_outstanding_attempt(shard) {
-            running.extend(fan_out.next_attempt(shard).map(|attempt| fan_out.run_attempt(attempt).boxed()));
+            attempts.extend(fan_out.next_attempt(shard));
         }
     }
+    // Nothing has been sent yet: the futures do not run before they are polled.
+    if fan_out.lacks_targets() {
+        return fan_out.refuse(&attempts);
+    }
+    running.extend(attempts.into_iter().map(|attempt| fan_out.run_attempt(attempt).boxed()));
     loop {
         fan_out.send_due_parts();
         let more = match fan_out.progress.next_step(now()) {
--- a/crates/front/src/fan_out/attempts.rs
+++ b/crates/front/src/fan_out/attempts.rs
@@ -83,6 +83,7 @@
 
     /// Counts an attempt at a shard; [`ExchangeResult::NotSent`] undoes this.
     pub(super) fn record_sent(&mut self, shard: usize, target: &Arc<Target>) {
+        target.take_limit_room(now());
         self.tried[shard].push(Arc::clone(&target.replica.id));
         self.delivered[shard] += 1;
         self.progress.record_sent(now(), shard);
--- a/crates/front/src/fan_out/skipped.rs
+++ b/crates/front/src/fan_out/skipped.rs
@@ -5,11 +5,13 @@
 use egret_policy::{GatherLimits, ShardChoice, ShardEstimate, choose_shards, max_expected_latency};
 
 use super::{FanOut, NextAttempt};
-use crate::{Mechanism, clock::now};
+use crate::{Mechanism, clock::now, fan_out_result::FanOutResult};
 
 /// The expected latency of a shard that a gatherer in another data centre recently skipped.
 const OVERLOADED_REMOTE_LATENCY: Duration = Duration::from_millis(1000);
 
+/// After what time a caller may retry if no target of a shard can be used, and none is in backoff.
+const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(250);
 /// A request that lacks at most this many parts waits for a free slot or for budget.
 const WAIT_MISSING_PARTS_MAX: usize = 3;
 
@@ -43,6 +45,9 @@
                     backoff_left: Duration::ZERO,
                 };
             }
+            if is_far {
+                return targets.estimate_remote(now, service, self.options.typical_latency);
+            }
             targets.estimate(now, service, self.options.typical_latency)
         };
         let estimates: Vec<ShardEstimate> = self.services.iter().map(estimate).collect();
@@ -64,6 +69,21 @@
         }
     }
 
+    /// Returns whether the targets that were chosen are too few for an answer: other requests have taken
+    /// the room of some since the fan-out began.
+    pub(super) fn lacks_targets(&self) -> bool {
+        self.services.len() > 1
+            && self.core.is_enabled(Mechanism::EarlyRefusal)
+            && self.progress.obtainable_parts() < self.options.limits.min_shards
+    }
+
+    /// Ends the fan-out before any of the chosen attempts is sent.
+    pub(super) fn refuse(mut self, attempts: &[NextAttempt]) -> FanOutResult {
+        attempts.iter().for_each(|attempt| attempt.target.return_limit_room(now()));
+        self.result.overload_retry_after = Some(self.result.backoff_left.unwrap_or(RETRY_AFTER_DEFAULT));
+        self.result
+    }
+
     /// Readmits the skipped services that can take the request now; returns the attempts to send.
     pub(super) fn readmit(&mut self, when: ReadmitWhen) -> Vec<NextAttempt> {
         if self.skipped.is_empty() {
--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     core::Core,
+    limit_sharers::LimitSharers,
     store::StoreRead,
     store_cursor::{StoreCursor, UnusableRead},
 };
@@ -308,6 +309,7 @@
             self.core.set_gatherers(&chosen);
             self.gatherers = chosen;
         }
+        self.core.set_limit_sharers(self.limit_sharers(now));
         let owners_changed = self.core.set_warm_up_owners(self.warm_up_owners(now));
         if owners_changed && self.table.as_ref().is_some_and(|table| table.limits_warm_up()) {
             self.core.set_replicas(&self.registry, &self.evacuations);
@@ -327,6 +329,18 @@
         near.map(|gatherer| gatherer.address).collect()
     }
 
+    /// Returns the hosts among which the limits of targets are divided.
+    fn limit_sharers(&self, now: Instant) -> LimitSharers {
+        if self.membership.uptime(now) < JOIN_PERIOD {
+            return LimitSharers::default();
+        }
+        let port = self.core.options.gathers.port();
+        let hosts =
+            self.membership.live(now).map(|member| SocketAddr::new(member.address.ip(), port)).collect();
+        let gatherer = |gatherer: &Replica| (gatherer.address, Arc::clone(&gatherer.data_centre));
+        LimitSharers { hosts, gatherers: self.gatherers.iter().map(gatherer).collect() }
+    }
+
     fn version(&self) -> Version {
         self.table.as_ref().map_or(Version(0), |table| table.version())
     }
--- a/crates/front/src/header_names.rs
+++ b/crates/front/src/header_names.rs
@@ -17,6 +17,8 @@
     pub load: HeaderName,
     /// States with the value 1 that the target is about to leave.
     pub leaving: HeaderName,
+    /// The requests per second that the target takes from all hosts together, as a decimal number.
+    pub request_limit: HeaderName,
     /// States that the target did not run the request.
     pub not_run: HeaderName,
     /// The receipts of the parts of a gathered answer.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -44,6 +44,7 @@
 mod gossip;
 mod header_names;
 mod instruments;
+mod limit_sharers;
 mod listener;
 mod mechanism;
 mod metrics_site;
--- a/crates/front/src/target.rs
+++ b/crates/front/src/target.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use egret_policy::{ExchangeEnd, TargetLoad};
+use egret_policy::{ExchangeEnd, LimitShare, RequestLimit, TargetLoad};
 use egret_routes::Replica;
 use tokio::sync::Notify;
 
@@ -34,6 +34,8 @@
 pub(crate) struct TargetState {
     pub(crate) load: TargetLoad,
     pub(crate) warm_up: TargetWarmUp,
+    /// The limit on requests that the target states, if any.
+    limit: Option<RequestLimit>,
     pub(crate) idle_connections: Vec<Connection>,
     /// Connections of this host to the target that are open or being opened, idle ones included.
     pub(crate) open_connections: usize,
@@ -45,7 +47,8 @@
         let load = TargetLoad::new(replica.slots);
         let warm_up = TargetWarmUp::new(now, &replica);
         let idle_connections = Vec::new();
-        let state = Mutex::new(TargetState { load, warm_up, idle_connections, open_connections: 0 });
+        let state =
+            Mutex::new(TargetState { load, warm_up, limit: None, idle_connections, open_connections: 0 });
         Self {
             replica,
             is_local,
@@ -82,19 +85,76 @@
         self.connection_freed.notify_waiters();
     }
 
-    /// Returns what is left of the target's backoff; zero if it accepts requests.
+    /// Returns what is left of the target's backoff.
     pub(crate) fn backoff_left(&self, now: Instant) -> Duration {
         self.state().load.backoff_left(now)
     }
 
-    /// Returns whether requests may be sent to the target.
+    /// Returns how long until neither the target's backoff nor its limit keeps requests from it.
+    pub(crate) fn time_until_room(&self, now: Instant) -> Duration {
+        let state = self.state();
+        state.load.backoff_left(now).max(state.time_until_limit_room(now))
+    }
+
+    /// Records the limit that the target states with an answer to a request that was sent at `sent_at`,
+    /// or that it states none; returns whether the limit began.
+    pub(crate) fn state_limit(
+        &self,
+        now: Instant,
+        sent_at: Instant,
+        per_s: Option<f64>,
+        share: impl FnOnce() -> LimitShare,
+    ) -> bool {
+        let mut state = self.state();
+        match (&mut state.limit, per_s) {
+            (Some(limit), Some(per_s)) => limit.state(now, per_s),
+            (None, Some(per_s)) => {
+                state.limit = Some(RequestLimit::new(now, per_s, share()));
+                return true;
+            }
+            (Some(limit), None) if limit.is_ended_by_answer_to(sent_at) => state.limit = None,
+            (_, None) => {}
+        }
+        false
+    }
+
+    /// Sets the place of this host among those that share the target's limit, if it states one.
+    pub(crate) fn set_limit_share(&self, now: Instant, share: impl FnOnce() -> LimitShare) {
+        if let Some(limit) = &mut self.state().limit {
+            limit.set_share(now, share());
+        }
+    }
+
+    /// Returns whether the target may be chosen for one more request.
     pub(crate) fn accepts_requests(&self, now: Instant) -> bool {
+        self.accepts_chosen_requests(now) && self.state().time_until_limit_room(now).is_zero()
+    }
+
+    /// Returns whether requests for which the target was chosen may be sent to it.
+    pub(crate) fn accepts_chosen_requests(&self, now: Instant) -> bool {
         !self.is_retired() && self.backoff_left(now).is_zero() && self.state().warm_up.admits(now)
     }
 
     /// Counts a request that is about to be sent; returns whether it may be sent.
     pub(crate) fn try_send(&self, now: Instant) -> bool {
-        self.accepts_requests(now) && self.state().warm_up.try_send(now)
+        self.accepts_chosen_requests(now) && self.state().warm_up.try_send(now)
+    }
+
+    /// Takes a request out of this host's share of the target's limit, if it states one.
+    ///
+    /// This is done when the target is chosen, before the connection is there, so that a gather does not
+    /// start with shards whose room others take meanwhile.
+    pub(crate) fn take_limit_room(&self, now: Instant) {
+        if let Some(limit) = &mut self.state().limit {
+            limit.take(now);
+        }
+    }
+
+    /// Returns the room that was taken for a request which is not sent.
+    pub(crate) fn return_limit_room(&self, now: Instant) {
+        if let Some(limit) = &mut self.state().limit {
+            limit.put_back(now);
+        }
     }
 
     /// Returns whether the target was removed from the registry or announced that it leaves.
@@ -130,6 +190,13 @@
     }
 }
 
+impl TargetState {
+    fn time_until_limit_room(&self, now: Instant) -> Duration {
+        let limit = self.limit.filter(|limit| !limit.is_outdated(now));
+        limit.map_or(Duration::ZERO, |limit| limit.time_until_room(now))
+    }
+}
+
 /// Counts an exchange as in flight at its target until it ends or is dropped.
 #[derive(Debug)]
 pub(crate) struct InFlightGuard {
--- a/crates/front/src/target_set.rs
+++ b/crates/front/src/target_set.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use egret_policy::{ShardEstimate, WarmUpLimits, warm_up_owner};
+use egret_policy::{LimitShare, ShardEstimate, WarmUpLimits, warm_up_owner};
 use egret_routes::{Replica, RouteTable, WarmUp};
 
 use crate::target::Target;
@@ -202,22 +202,55 @@
     ///
     /// `typical_latency` is that of the request's route.
     pub(crate) fn estimate(&self, now: Instant, service: &str, typical_latency: Duration) -> ShardEstimate {
+        let until_room = |target: &Target| target.time_until_room(now);
+        self.estimate_with(now, service, typical_latency, until_room)
+    }
+
+    /// Returns what a request may expect of a service's best target through a gatherer in another data
+    /// centre. The gatherer has a share of the targets' limits, which this host does not know.
+    pub(crate) fn estimate_remote(
+        &self,
+        now: Instant,
+        service: &str,
+        typical_latency: Duration,
+    ) -> ShardEstimate {
+        let until_room = |target: &Target| target.backoff_left(now);
+        self.estimate_with(now, service, typical_latency, until_room)
+    }
+
+    fn estimate_with(
+        &self,
+        now: Instant,
+        service: &str,
+        typical_latency: Duration,
+        until_room: impl Fn(&Target) -> Duration,
+    ) -> ShardEstimate {
         let targets = self.targets_of(service);
-        let available =
-            || targets.iter().filter(|target| target.accepts_requests(now) && !target.is_ejected(now));
+        let has_room = |target: &&Arc<Target>| {
+            !target.is_retired() && until_room(target).is_zero() && target.state().warm_up.admits(now)
+        };
+        let available = || targets.iter().filter(has_room).filter(|target| !target.is_ejected(now));
         let costs = available().map(|target| target.cost(now));
         let lowest = costs.min_by(f64::total_cmp).or((!targets.is_empty()).then_some(ALL_EJECTED_COST));
+        let in_use = targets.iter().filter(|target| !target.is_retired());
         ShardEstimate {
             expected_latency: lowest.map(|cost| typical_latency.mul_f64(cost)),
             has_free_slot: available().any(|target| target.has_free_slot(now)),
-            backoff_left: self.backoff_left(now, service),
+            backoff_left: in_use.map(|target| until_room(target)).min().unwrap_or(Duration::ZERO),
         }
     }
 
     /// Returns how long until one of a service's targets accepts requests; zero if one does now.
     pub(crate) fn backoff_left(&self, now: Instant, service: &str) -> Duration {
         let targets = self.targets_of(service).iter().filter(|target| !target.is_retired());
-        targets.map(|target| target.backoff_left(now)).min().unwrap_or(Duration::ZERO)
+        targets.map(|target| target.time_until_room(now)).min().unwrap_or(Duration::ZERO)
+    }
+
+    /// Sets the place of this host among those that share the limits which targets state.
+    pub(crate) fn set_limit_shares(&self, now: Instant, share: impl Fn(&Replica) -> LimitShare) {
+        for target in self.services.iter().flat_map(|entry| &entry.targets) {
+            target.set_limit_share(now, || share(&target.replica));
+        }
     }
 
     /// Returns the cheapest target of some services that was not tried yet and passes the filter.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -38,6 +38,7 @@
 //! - [`GatherProgress`], [`choose_shards`]: hedges, early answers and skipped shards of a gather.
 //! - [`TargetLoad`], [`RetryBudget`]: load estimates and limits on extra attempts at
 //!   targets.
+//! - [`RequestLimit`], [`LimitShare`]: the limit on requests that a target states for all hosts.
 //! - [`WarmUpLimits`], [`warm_up_owner`]: the limit on requests to a replica that warms up.
 //! - [`LeadTimeEstimator`]: how long before its latency objective an answer must be made.
 //!
@@ -60,6 +61,7 @@
 mod remote_shard_groups;
 mod replica;
 mod replica_choice;
+mod request_limit;
 mod retry_budget;
 mod shard_choice;
 mod snapshot;
@@ -87,6 +89,7 @@
 pub use relay_health::RelayHealth;
 pub use remote_shard_groups::{RemoteShardGroup, group_remote_shards};
 pub use replica::{HealthReport, LIVENESS_TTL, ReplicaPhase, SnapshotPlacement};
+pub use request_limit::{LimitShare, RequestLimit};
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use shard_choice::{ShardChoice, ShardEstimate, choose_shards, max_expected_latency};
 pub use snapshot::{ServiceSnapshots, choose_snapshot};
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -2,7 +2,7 @@
 
 use egret_model::{Version, record};
 
-use crate::{CallerLimits, Route, Service};
+use crate::{Backend, CallerLimits, Route, Service};
 
 record! {
     /// One immutable version of the configuration.
@@ -74,6 +74,15 @@
         self.services.iter().any(|service| service.warm_up.is_some())
     }
 
+    /// Returns whether a service is a shard of any route.
+    #[must_use]
+    pub fn is_shard(&self, service: &str) -> bool {
+        self.routes.iter().any(|route| match &route.backend {
+            Backend::Gather(plan) => plan.shards.iter().any(|shard| **shard == *service),
+            Backend::One(_) | Backend::Split(_) => false,
+        })
+    }
+
     /// Finds a service by its name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Service> {
