Start no gather whose sender has closed the connection

Cause, shown now: a gatherer that reads a request late starts its targets at once, before the HTTP library notices that the sender has given up and gone elsewhere. Class: work begun on a request that nobody waits for. Change: the gatherer lets the library poll the connection twice before it starts; the library then drops the gather. Ruled out: a wait of some milliseconds, which each gather would pay. Left: a sender that gives up in the moment in which the request is read.

--- a/crates/front/src/gather_server.rs
+++ b/crates/front/src/gather_server.rs
@@ -34,6 +34,10 @@
 /// The limit of another host's message, in bytes: a caller's body and headers fit.
 const MESSAGE_BYTES_MAX: usize = 16 << 20;
 
+/// With the first poll the HTTP library reads the end of the request, with the second one the end of the
+/// connection.
+const POLLS_UNTIL_CLOSE_IS_SEEN: usize = 2;
+
 type GatherResponse = Response<UnsyncBoxBody<Bytes, Infallible>>;
 
 /// Serves a connection of another host until it ends, or until `closing` becomes true and it is idle.
@@ -74,6 +78,11 @@
     let Some(table) = core.table.load_full().filter(|table| find(table, &call).is_some()) else {
         return plain_text(StatusCode::CONFLICT, "another configuration is in force here\n");
     };
+    // The sender may have closed the connection meanwhile and sent the request elsewhere. The HTTP library
+    // sees that when it polls the connection, and drops this future then.
+    for _ in 0..POLLS_UNTIL_CLOSE_IS_SEEN {
+        tokio::task::yield_now().await;
+    }
     // The head of the response is sent at once and tells the sender that the request is accepted.
     // Replies follow as they become ready. The gather is aborted when the sender closes the
     // connection.
