Split the core and the fleet view by concern

No change of behaviour: what the core knows of answers' timing and of extra attempts, and what the fleet view decides about roles, move to files of their own.

--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -1,5 +1,8 @@
 //! The state of one host that all its requests share.
 
+mod answer_timing;
+mod extra_attempts;
+
 use std::{
     net::SocketAddr,
     sync::{
@@ -11,8 +14,8 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use egret_events::{Code, log_event};
-use egret_policy::{AnswerDelivery, CallerBudgets, LeadTimeEstimator, LimitShare, RetryBudget, Suspects};
-use egret_routes::{Backend, Evacuations, RECORD_BYTES, Registry, Replica, ReplicaRun, Route, RouteTable};
+use egret_policy::{CallerBudgets, LeadTimeEstimator, LimitShare, RetryBudget, Suspects};
+use egret_routes::{Evacuations, Registry, Replica, ReplicaRun, Route, RouteTable};
 use tokio::sync::{Notify, watch};
 
 use crate::{
@@ -44,11 +47,6 @@
 const CRASH_CHECK_DELAY: Duration = Duration::from_millis(20);
 /// Responses of targets may take up the host's memory divided by this.
 const ANSWERS_MEMORY_DIVISOR: usize = 4;
-/// A caller that spent a greater share of its latency objective than this before its request arrived
-/// misses the objective anyway.
-const SPENT_OBJECTIVE_SHARE_MAX: f64 = 0.5;
-/// The approximate size in an answer of the receipt of one target.
-const RECEIPT_BYTES: usize = 32;
 
 /// An entry of a vector that is sorted by name and serves as a map.
 #[derive(Debug)]
@@ -248,11 +246,6 @@
         self.hosts.load(Ordering::Relaxed)
     }
 
-    /// Returns the extra attempts that remain in the budget with the fewest; infinity without budgets.
-    pub(crate) fn lowest_extra_attempt_budget(&self) -> f64 {
-        lock(&self.budgets).iter().map(|budget| budget.value.tokens()).fold(f64::INFINITY, f64::min)
-    }
-
     /// Returns whether the configuration may be older than [`Options::config_lag`] allows, so that a
     /// route which it lacks may exist.
     pub(crate) fn config_may_be_stale(&self, now: Instant) -> bool {
@@ -312,35 +305,6 @@
         at.is_ok_and(|at| now.saturating_duration_since(overloads[at].value) < REMOTE_OVERLOAD_TTL)
     }
 
-    /// Credits the budget for extra attempts at a service with the first attempt of a request.
-    pub(crate) fn credit_extra_attempt_budget(&self, now: Instant, service: &Arc<str>, is_shard: bool) {
-        let hosts = self.hosts_sharing_limits(is_shard);
-        self.with_budget(now, service, hosts, |budget| budget.earn(hosts));
-    }
-
-    /// Takes one extra attempt (a hedge or a retry) at a service out of its budget; returns whether
-    /// the budget allowed it.
-    pub(crate) fn try_spend_extra_attempt_budget(
-        &self,
-        now: Instant,
-        service: &Arc<str>,
-        is_shard: bool,
-    ) -> bool {
-        let hosts = self.hosts_sharing_limits(is_shard);
-        self.with_budget(now, service, hosts, |budget| budget.spend(now, hosts))
-    }
-
-    fn with_budget<R>(
-        &self,
-        now: Instant,
-        service: &Arc<str>,
-        hosts: usize,
-        act: impl FnOnce(&mut RetryBudget) -> R,
-    ) -> R {
-        let create = || RetryBudget::new(now, self.options.retry_limits, hosts);
-        act(get_or_insert(&mut lock(&self.budgets), service, create))
-    }
-
     /// Reads or updates the measured latency of a route.
     pub(crate) fn with_latency<R>(&self, route: &Route, act: impl FnOnce(&mut RouteLatency) -> R) -> R {
         act(get_or_insert(&mut lock(&self.latencies), &route.name, || RouteLatency::new(route)))
@@ -362,51 +326,6 @@
         std::mem::take(&mut *lock(&self.leaving))
     }
 
-    /// Returns when the host has to start writing the answer to a request, for it to reach the caller
-    /// within the route's latency objective.
-    pub(crate) fn answer_due_at(&self, route: &Route, req: &CallerRequest) -> Instant {
-        let objective = Duration::from_millis(route.latency_objective_ms);
-        let bytes = match &route.backend {
-            Backend::Gather(plan) if self.is_enabled(Mechanism::LinkTransferTime) => {
-                plan.shards.len() * RECEIPT_BYTES + plan.top_k * RECORD_BYTES
-            }
-            _ => 0,
-        };
-        let spent = if self.is_enabled(Mechanism::LearnedCallerDelay) {
-            self.spent_before_arrival(route, req)
-        } else {
-            None
-        };
-        let mut lead_time = lock(&self.lead_time);
-        spent.into_iter().for_each(|spent| lead_time.record_connection_setup(spent));
-        // A caller that misses the latency objective anyway is answered like one whose spent time is
-        // unknown.
-        let spent = spent.filter(|&spent| spent < objective.mul_f64(SPENT_OBJECTIVE_SHARE_MAX));
-        let delivery = AnswerDelivery { on_new_connection: req.is_new_connection, elapsed: spent, bytes };
-        req.arrived_at + objective.saturating_sub(lead_time.estimate(delivery))
-    }
-
-    /// Returns the part of its time budget that a caller spent before it sent the request, if the
-    /// stated budgets of the route show it.
-    fn spent_before_arrival(&self, route: &Route, req: &CallerRequest) -> Option<Duration> {
-        let mut budgets = lock(&self.stated_budgets);
-        let stated = get_or_insert(&mut budgets, &route.name, CallerBudgets::default);
-        if !req.is_new_connection {
-            stated.record(req.deadline);
-            return None;
-        }
-        stated.elapsed(req.deadline)
-    }
-
-    /// Records that an answer was written now that was due at `due_at`.
-    pub(crate) fn answer_written(&self, due_at: Instant) {
-        let delay = now().saturating_duration_since(due_at);
-        if self.is_enabled(Mechanism::LearnedAnswerDelay) {
-            lock(&self.lead_time).record_send_delay(delay);
-        }
-        self.instruments.answer_delay(delay);
-    }
-
     /// Checks whether a request whose connection broke crashed its target, and marks it as suspect
     /// if the target accepts no connection.
     pub(crate) fn check_for_crash(self: &Arc<Self>, target: Arc<Target>, req: &CallerRequest) {
--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -1,5 +1,7 @@
 //! This host's view of the fleet, as merged from the store and from gossip.
 
+mod roles;
+
 use std::{
     net::SocketAddr,
     sync::Arc,
@@ -7,14 +9,13 @@
 };
 
 use egret_events::{Code, log_event};
-use egret_members::{GossipMessage, Member, Membership, StatedChanges};
+use egret_members::{GossipMessage, Membership, StatedChanges};
 use egret_model::Version;
-use egret_policy::{GathererCandidate, choose_gatherers, store_readers};
+use egret_policy::store_readers;
 use egret_routes::{Evacuations, Registry, Replica, ReplicaRun, RouteTable, StorePosition};
 
 use crate::{
     core::Core,
-    limit_sharers::LimitSharers,
     store::StoreRead,
     store_cursor::{StoreCursor, UnusableRead},
 };
@@ -39,9 +40,6 @@
 /// read first gossip what they read, and the seeds may be the last to start.
 const BOOTSTRAP_DELAY_MIN: Duration = Duration::from_millis(20);
 const BOOTSTRAP_DELAY_MAX: Duration = Duration::from_millis(80);
-/// Processor time of one running gather, in thousandths of a core; gives gatherers a slot count, so
-/// that hosts compare them as they compare targets.
-const GATHER_MILLICORES: u32 = 40;
 /// Limits the fingerprints of crashing requests in one message.
 const MARKS_MAX: usize = 16;
 /// Limits the runs of leaving replicas in one message; the store lists them as leaving soon after.
@@ -289,58 +287,6 @@
         has_changed
     }
 
-    /// Recomputes which hosts gather and which own replicas that warm up, and installs what changed.
-    pub(crate) fn choose_gatherers(&mut self, now: Instant) {
-        let hosts: Vec<GathererCandidate> = self.membership.live(now).map(gatherer_candidate).collect();
-        let mut names: Vec<&Arc<str>> = hosts.iter().map(|host| &host.data_centre).collect();
-        names.sort_unstable();
-        names.dedup();
-        let port = self.core.options.gathers.port();
-        let mut chosen = Vec::new();
-        for name in names {
-            for address in choose_gatherers(&hosts, name) {
-                let host = hosts.iter().find(|host| host.address == address);
-                chosen.extend(host.map(|host| gatherer_as_replica(host, port)));
-            }
-        }
-        if chosen != self.gatherers {
-            let names: Vec<&str> = chosen.iter().map(|gatherer| &*gatherer.id).collect();
-            log_event(Code::GatherersChosen, "", &names.join(" "));
-            self.core.set_gatherers(&chosen);
-            self.gatherers = chosen;
-        }
-        self.core.set_limit_sharers(self.limit_sharers(now));
-        let owners_changed = self.core.set_warm_up_owners(self.warm_up_owners(now));
-        if owners_changed && self.table.as_ref().is_some_and(|table| table.limits_warm_up()) {
-            self.core.set_replicas(&self.registry, &self.evacuations);
-        }
-    }
-
-    /// Returns the hosts of this data centre that may own replicas that warm up: its gatherers, or none
-    /// while this host may not know the fleet or sees no majority of the data centre.
-    ///
-    /// Without the majority, each host that is cut off from the others would take itself for the owner.
-    fn warm_up_owners(&self, now: Instant) -> Vec<SocketAddr> {
-        let own = &self.core.options.data_centre;
-        if self.membership.uptime(now) < JOIN_PERIOD || !self.membership.sees_majority(own) {
-            return Vec::new();
-        }
-        let near = self.gatherers.iter().filter(|gatherer| gatherer.data_centre == *own);
-        near.map(|gatherer| gatherer.address).collect()
-    }
-
-    /// Returns the hosts among which the limits of targets are divided.
-    fn limit_sharers(&self, now: Instant) -> LimitSharers {
-        if self.membership.uptime(now) < JOIN_PERIOD {
-            return LimitSharers::default();
-        }
-        let port = self.core.options.gathers.port();
-        let hosts =
-            self.membership.live(now).map(|member| SocketAddr::new(member.address.ip(), port)).collect();
-        let gatherer = |gatherer: &Replica| (gatherer.address, Arc::clone(&gatherer.data_centre));
-        LimitSharers { hosts, gatherers: self.gatherers.iter().map(gatherer).collect() }
-    }
-
     fn version(&self) -> Version {
         self.table.as_ref().map_or(Version(0), |table| table.version())
     }
@@ -385,28 +331,3 @@
 fn draw_bootstrap_delay() -> Duration {
     BOOTSTRAP_DELAY_MIN + (BOOTSTRAP_DELAY_MAX - BOOTSTRAP_DELAY_MIN).mul_f64(fastrand::f64())
 }
-
-fn gatherer_candidate(member: &Member) -> GathererCandidate {
-    GathererCandidate {
-        address: member.address,
-        data_centre: Arc::clone(&member.data_centre),
-        millicores: member.millicores,
-        parts_per_s: member.parts_per_s,
-    }
-}
-
-/// Describes a gatherer as a replica, so that hosts choose among gatherers as among targets.
-fn gatherer_as_replica(host: &GathererCandidate, port: u16) -> Replica {
-    let address = SocketAddr::new(host.address.ip(), port);
-    Replica {
-        id: address.to_string().into(),
-        service: Arc::clone(&host.data_centre),
-        address,
-        data_centre: Arc::clone(&host.data_centre),
-        slots: (host.millicores / GATHER_MILLICORES).max(1),
-        draining: false,
-        warm_up_ms: 0,
-        started_at_ms: 0,
-        report_number: 0,
-    }
-}
