Do not refuse a gather as not run that another host may have run

Callers saw: 503 with Retry-After, which states that the request has not run, for a gather that a gatherer had been sent before; the host that fell back to gathering itself found its shards overloaded, or the request suspected. Gathers are idempotent, so no rule counted it; the statement was not true. Cause: the result of a fan-out began without what was known of earlier attempts. Class: a fact that is dropped where a new attempt begins. Fan-outs that repeat another host's are not refused before sending, as before the limits. Evidence: a_gather_that_may_have_run_elsewhere_is_not_refused_as_not_run got 503 in two runs of two before, and is green in two with the change.

--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -94,7 +94,11 @@
         skipped: Vec::new(),
         tried: vec![Vec::new(); services.len()],
         delivered: vec![0; services.len()],
-        result: FanOutResult { parts_sender, ..FanOutResult::new(services.len()) },
+        result: FanOutResult {
+            parts_sender,
+            may_have_run: options.is_repeat,
+            ..FanOutResult::new(services.len())
+        },
     };
     if let Err(retry_after) = fan_out.skip_overloaded() {
         fan_out.result.overload_retry_after = Some(retry_after);
--- a/crates/front/src/fan_out/skipped.rs
+++ b/crates/front/src/fan_out/skipped.rs
@@ -73,6 +73,7 @@
     /// the room of some since the fan-out began.
     pub(super) fn lacks_targets(&self) -> bool {
         self.services.len() > 1
+            && !self.options.is_repeat
             && self.core.is_enabled(Mechanism::EarlyRefusal)
             && self.progress.obtainable_parts() < self.options.limits.min_shards
     }
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -117,7 +117,10 @@
         is_enough: result.is_enough,
         extra: result.extra_attempts,
         may_have_run: result.may_have_run,
-        come_back_ms: result.overload_retry_after.map(|after| after.as_millis() as u64),
+        come_back_ms: result
+            .overload_retry_after
+            .filter(|_| !result.may_have_run)
+            .map(|after| after.as_millis() as u64),
         overloaded: Vec::new(),
         not_asked: Vec::new(),
         receipts,
--- a/crates/front/src/gather_server.rs
+++ b/crates/front/src/gather_server.rs
@@ -123,7 +123,7 @@
     replies: mpsc::UnboundedSender<GatherReply>,
 ) -> GatherReply {
     if core.suspects().is_poison(now(), req.fingerprint) {
-        return GatherReply::not_run();
+        return GatherReply { may_have_run: options.is_repeat, ..GatherReply::not_run() };
     }
     let req = Arc::new(req);
     match &call.shards {
