Detect and log that a host reaches no target

Callers of partitioned hosts were refused, and nothing in the logs told whether a host reaches any target, whether a refusal was its own or a gatherer's, and why the shards of a refusal could not be asked. No request is handled differently by this commit.

Evidence of several targets (connections that fail, or silence) starts a check of six random targets; only if none opens, the host logs E524, and E525 once one opens again. Connections to targets come from the host's own address, as those of its HTTP client do, so that targets and tests can tell hosts apart.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -122,6 +122,10 @@
     TargetClosed = 519, "target asked for a pause";
     /// A target stated how many requests it takes.
     TargetLimited = 523, "target limits requests";
+    /// No target can be reached from this host.
+    TargetsUnreachable = 524, "no target can be reached";
+    /// Targets can be reached again from this host.
+    TargetsReachable = 525, "targets can be reached again";
     /// The platform dropped the history after the last known revision.
     StoreHistoryLost = 518, "platform history lost";
     /// The platform's store was restored from a backup.
--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -1,6 +1,7 @@
 //! A connection to a target or a gatherer.
 
 use std::{
+    net::{IpAddr, SocketAddr},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -9,7 +10,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 use crate::{
     bounded_io::{Allowance, BoundedIo},
@@ -61,7 +62,7 @@
     /// Opens a connection; returns `None` if the target cannot be reached.
     pub(crate) async fn open(target: &Arc<Target>) -> Option<Self> {
         let open_guard = OpenGuard::new(target);
-        let connecting = TcpStream::connect(target.replica.address);
+        let connecting = connect(target.source, target.replica.address);
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await.ok()?.ok()?;
         prepare(&stream).ok()?;
         let allowance = Allowance::default();
@@ -101,6 +102,15 @@
     }
 }
 
+/// Connects from the host's own address, so that targets and firewalls see one address per host.
+async fn connect(source: IpAddr, target: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = if target.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    if source.is_ipv4() == target.is_ipv4() && !source.is_unspecified() {
+        socket.bind(SocketAddr::new(source, 0))?;
+    }
+    socket.connect(target).await
+}
+
 fn prepare(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     socket2::SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX))
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -2,6 +2,7 @@
 
 mod answer_timing;
 mod extra_attempts;
+mod reach;
 
 use std::{
     net::SocketAddr,
@@ -14,7 +15,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use egret_events::{Code, log_event};
-use egret_policy::{CallerBudgets, LeadTimeEstimator, LimitShare, RetryBudget, Suspects};
+use egret_policy::{CallerBudgets, LeadTimeEstimator, LimitShare, RetryBudget, Suspects, TargetReach};
 use egret_routes::{Evacuations, Registry, Replica, ReplicaRun, Route, RouteTable};
 use tokio::sync::{Notify, watch};
 
@@ -94,6 +95,9 @@
     /// Runs of targets that announced that they shut down, until the control thread takes them.
     leaving: Mutex<Vec<ReplicaRun>>,
     has_leaving: Notify,
+    reach: Mutex<TargetReach>,
+    /// Whether no target can be reached from this host.
+    partitioned: watch::Sender<bool>,
 }
 
 impl Core {
@@ -123,6 +127,8 @@
             stated_budgets: Mutex::default(),
             leaving: Mutex::default(),
             has_leaving: Notify::new(),
+            reach: Mutex::default(),
+            partitioned: watch::Sender::new(false),
         }
     }
 
--- a/crates/front/src/delegate.rs
+++ b/crates/front/src/delegate.rs
@@ -148,6 +148,14 @@
         match reply {
             Ok(reply) => {
                 let held = Duration::from_micros(reply.held_us);
+                if let Some(after_ms) = reply.come_back_ms {
+                    let detail = format!(
+                        "route {}: gatherer {} reports that too many shards are overloaded; the caller may \
+                         retry after {after_ms} ms",
+                        route.name, gatherer.replica.id
+                    );
+                    req.log(Code::RequestRefused, &detail);
+                }
                 let is_in_time = sent_at + held < answer_at + HOST_LATENESS_MAX;
                 return Delegation::Done { reply, ready_at: is_in_time.then_some(sent_at + held) };
             }
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -62,6 +62,7 @@
     req: Arc<CallerRequest>,
     options: ExchangeOptions,
 ) -> ExchangeResult {
+    let _exchange = ExchangeGuard::begin(&core, options.typical_latency);
     let mut running = InFlightGuard::begin(Arc::clone(&target), now(), options.typical_latency);
     let result = send(&core, &target, &req, options).await;
     let end = match &result {
@@ -77,11 +78,28 @@
     running.end(now(), end);
     core.instruments.exchange(end_label(end));
     if matches!(result, ExchangeResult::Lost(LossCause::Broken)) {
+        core.target_connection_failed(&target);
         core.check_for_crash(target, &req);
     }
     result
 }
 
+/// Counts an exchange as waiting for its target until it ends or is dropped.
+struct ExchangeGuard<'a>(&'a Core);
+
+impl<'a> ExchangeGuard<'a> {
+    fn begin(core: &'a Core, typical_latency: Duration) -> Self {
+        core.exchange_began(now(), typical_latency);
+        Self(core)
+    }
+}
+
+impl Drop for ExchangeGuard<'_> {
+    fn drop(&mut self) {
+        self.0.exchange_ended();
+    }
+}
+
 /// Returns the value of the `end` label of the metric `exchanges`.
 fn end_label(end: ExchangeEnd) -> &'static str {
     match end {
@@ -117,6 +135,7 @@
                 return ExchangeResult::Lost(loss_cause(&connection));
             }
         };
+        core.target_answered(options.typical_latency);
         apply_target_state(core, target, sent_at, &res);
         return receive(core, target, req, options, connection, res).await;
     }
@@ -141,7 +160,12 @@
         let limit = core.connections_max(&target.replica.service, options.top_k.is_some());
         if target.state().open_connections < limit {
             core.instruments.connection();
-            return Connection::open(target).await;
+            let connection = Connection::open(target).await;
+            match connection {
+                Some(_) => core.target_connected(),
+                None => core.target_connection_failed(target),
+            }
+            return connection;
         }
         if options.new_connection_only && target.state().idle_connections.pop().is_some() {
             // The driver of the dropped connection ends soon, so that another one may be opened.
--- a/crates/front/src/fan_out/skipped.rs
+++ b/crates/front/src/fan_out/skipped.rs
@@ -1,6 +1,9 @@
 //! Overloaded services: which of them a fan-out skips, and when it readmits them.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use egret_policy::{GatherLimits, ShardChoice, ShardEstimate, choose_shards, max_expected_latency};
 
@@ -65,10 +68,30 @@
                 Ok(())
             }
             ShardChoice::Refuse(_) if !self.core.is_enabled(Mechanism::EarlyRefusal) => Ok(()),
-            ShardChoice::Refuse(retry_after) => Err(retry_after),
+            ShardChoice::Refuse(retry_after) => {
+                self.result.overload_detail = self.describe_overload(now, &estimates);
+                Err(retry_after)
+            }
         }
     }
 
+    /// Describes the shards that cannot be asked: by this host's view of its targets, or by what
+    /// gatherers in other data centres reported.
+    fn describe_overload(&self, now: Instant, estimates: &[ShardEstimate]) -> String {
+        let count =
+            |is_meant: &dyn Fn(usize) -> bool| (0..estimates.len()).filter(|at| is_meant(*at)).count();
+        let targets = self.core.targets.load();
+        let without_target = count(&|at| estimates[at].expected_latency.is_none());
+        let ejected = count(&|at| targets.are_all_ejected(now, &self.services[at]));
+        let reported = count(&|at| self.core.has_remote_overload(now, &self.services[at]));
+        format!(
+            "{} shards, {} of them needed; without a target: {without_target}, with ejected targets only: \
+             {ejected}, reported by other gatherers: {reported}",
+            estimates.len(),
+            self.options.limits.min_shards
+        )
+    }
+
     /// Returns whether the targets that were chosen are too few for an answer: other requests have taken
     /// the room of some since the fan-out began.
     pub(super) fn lacks_targets(&self) -> bool {
@@ -81,6 +104,7 @@
     /// Ends the fan-out before any of the chosen attempts is sent.
     pub(super) fn refuse(mut self, attempts: &[NextAttempt]) -> FanOutResult {
         attempts.iter().for_each(|attempt| attempt.target.return_limit_room(now()));
+        self.result.overload_detail = "too few shards have a target that takes requests".to_owned();
         self.result.overload_retry_after = Some(self.result.backoff_left.unwrap_or(RETRY_AFTER_DEFAULT));
         self.result
     }
--- a/crates/front/src/fan_out_result.rs
+++ b/crates/front/src/fan_out_result.rs
@@ -29,6 +29,8 @@
     /// After what time the caller may retry; set if nothing was sent because too many services
     /// are overloaded.
     pub(crate) overload_retry_after: Option<Duration>,
+    /// Why the shards of an overload cannot be asked, for logs.
+    pub(crate) overload_detail: String,
     /// The longest time until a service whose targets are all in backoff has one that accepts requests
     /// again; `None` if there is no such service.
     pub(crate) backoff_left: Option<Duration>,
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -110,6 +110,7 @@
             tokio::spawn(gossip.clone().forward_leaving_targets()),
             tokio::spawn(store_reader::follow(Arc::new(store), gossip.clone())),
         ];
+        tasks.push(traffic.spawn(Arc::clone(&core).watch_reach()));
         let push = core.is_enabled(Mechanism::GossipPush).then(|| tokio::spawn(gossip.clone().push()));
         tasks.extend(push);
         log_event(Code::Started, "", &format!("{} listens on {address}", options.host));
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -166,8 +166,8 @@
     }
     if let Some(after) = result.overload_retry_after {
         let detail = format!(
-            "route {}: too many shards are overloaded; the caller may retry after {after:?}",
-            route.name
+            "route {}: too many shards are overloaded ({}); the caller may retry after {after:?}",
+            route.name, result.overload_detail
         );
         req.log(Code::RequestRefused, &detail);
         return;
--- a/crates/front/src/metrics_site.rs
+++ b/crates/front/src/metrics_site.rs
@@ -41,6 +41,11 @@
             ("store_age_ms", core.store_age(now).map_or(-1.0, |age| age.as_secs_f64() * 1000.0)),
             ("hosts", core.known_hosts() as f64),
             ("is_gatherer", f64::from(u8::from(core.is_gatherer()))),
+            ("targets_unreachable", f64::from(u8::from(core.is_partitioned()))),
+            (
+                "target_answer_age_ms",
+                core.target_answer_age(now).map_or(-1.0, |age| age.as_secs_f64() * 1000.0),
+            ),
             ("evacuated_data_centres", core.evacuated_data_centres() as f64),
             ("targets", state.targets as f64),
             ("targets_avoided", state.ejected as f64),
--- a/crates/front/src/target.rs
+++ b/crates/front/src/target.rs
@@ -1,6 +1,7 @@
 //! One target, with this host's connections to it.
 
 use std::{
+    net::IpAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
@@ -20,6 +21,8 @@
     pub(crate) replica: Replica,
     /// Whether the target is in this host's data centre.
     pub(crate) is_local: bool,
+    /// The address of this host that connections to the target come from.
+    pub(crate) source: IpAddr,
     weigh_latency: bool,
     eject_failing: bool,
     state: Mutex<TargetState>,
@@ -52,6 +55,7 @@
         Self {
             replica,
             is_local,
+            source: options.own.ip(),
             weigh_latency: options.weigh_latency,
             eject_failing: options.eject_failing,
             state,
--- a/crates/front/src/target_set.rs
+++ b/crates/front/src/target_set.rs
@@ -172,6 +172,12 @@
         sum
     }
 
+    /// Draws at most `max` random targets.
+    pub(crate) fn sample(&self, max: usize) -> Vec<Arc<Target>> {
+        let all = self.services.iter().flat_map(|entry| &entry.targets);
+        fastrand::choose_multiple(all.filter(|target| !target.is_retired()).cloned(), max)
+    }
+
     /// Returns the data centres with targets, sorted.
     pub(crate) fn data_centres(&self) -> Vec<Arc<str>> {
         let mut names: Vec<Arc<str>> = Vec::new();
@@ -240,6 +246,12 @@
         }
     }
 
+    /// Returns whether a service has targets, and all of them are ejected.
+    pub(crate) fn are_all_ejected(&self, now: Instant, service: &str) -> bool {
+        let targets = self.targets_of(service);
+        !targets.is_empty() && targets.iter().all(|target| target.is_ejected(now))
+    }
+
     /// Returns how long until one of a service's targets accepts requests; zero if one does now.
     pub(crate) fn backoff_left(&self, now: Instant, service: &str) -> Duration {
         let targets = self.targets_of(service).iter().filter(|target| !target.is_retired());
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -33,6 +33,7 @@
 //! - [`Suspects`]: requests that crash the targets that run them.
 //! - [`owner_candidates`]: the relays that may own a block's connections.
 //! - [`choose_snapshot`]: the one snapshot that a query is answered from.
+//! - [`TargetReach`]: whether this host reaches any target.
 //! - [`Contention`]: services that recently refused work for lack of slots.
 //! - [`RelayHealth`], [`PauseDetector`]: which relays are down, and whether this process paused.
 //! - [`GatherProgress`], [`choose_shards`]: hedges, early answers and skipped shards of a gather.
@@ -68,6 +69,7 @@
 mod store_readers;
 mod suspects;
 mod target_load;
+mod target_reach;
 mod ticket;
 mod ticket_registry;
 mod token_bucket;
@@ -96,6 +98,7 @@
 pub use store_readers::{store_reader_count, store_readers, store_retry_backoff};
 pub use suspects::{MARK_TTL, POISON_BREAK_COUNT, SHARED_SUSPECT_TTL, Suspects};
 pub use target_load::{ExchangeEnd, TargetLoad};
+pub use target_reach::{ReachChange, TargetReach};
 pub use ticket::{Ticket, TicketError};
 pub use ticket_registry::{Claim, TicketRegistry};
 pub use token_bucket::TokenBucket;
