Let no host gather that reaches no target

Callers of all hosts failed while some were partitioned from the targets: healthy hosts handed their gathers to partitioned gatherers and took over their refusals (front-khomas-b-1, not partitioned, 190 of them from 4 to 20 s), and partitioned hosts gathered themselves.

Cause: gatherers are chosen by processor time among the live hosts, and a host that lost its links to the targets still counts as live.

A host that reaches no target says so in its gossip, is no gatherer, shares no limits and refuses gathers before it accepts them; its own go to gatherers elsewhere. The layout of messages is 2; builds of layout 1 are read as reaching targets, and exchange messages with field names.

The three tests of platform/tests/partitioned.rs still fail: requests to one target, and crash marks.

--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -208,7 +208,7 @@
 
     /// Returns whether this host is a gatherer, which sends requests for parts to the targets itself.
     pub(crate) fn is_gatherer(&self) -> bool {
-        self.is_gatherer.load(Ordering::Relaxed)
+        self.is_gatherer.load(Ordering::Relaxed) && !self.is_partitioned()
     }
 
     /// Returns whether a mechanism is enabled.
--- a/crates/front/src/core/reach.rs
+++ b/crates/front/src/core/reach.rs
@@ -8,6 +8,7 @@
 use egret_events::{Code, log_event};
 use egret_policy::ReachChange;
 use futures_util::future::join_all;
+use tokio::sync::watch;
 
 use super::{Core, lock};
 use crate::{clock::now, connection::Connection, target::Target};
@@ -17,6 +18,9 @@
 /// How long a connection that a check opened must last: a device on the way may accept connections
 /// itself and then reset them.
 const CHECKED_CONNECTION_TIME: Duration = Duration::from_millis(20);
+/// A partitioned host without an answer for this long has no open connection that still works: one
+/// check takes that long, and exchanges go on meanwhile.
+const ANSWERS_EXPECTED_WITHIN: Duration = Duration::from_millis(250);
 /// How often the exchanges in flight are checked for silence.
 const SILENCE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -26,6 +30,18 @@
         *self.partitioned.borrow()
     }
 
+    /// Returns a receiver of [`Self::is_partitioned`].
+    pub(crate) fn watch_partition(&self) -> watch::Receiver<bool> {
+        self.partitioned.subscribe()
+    }
+
+    /// Returns whether this host neither reaches a target nor has open connections over which targets
+    /// answer.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        self.is_partitioned()
+            && lock(&self.reach).answer_age(now()).is_none_or(|age| age > ANSWERS_EXPECTED_WITHIN)
+    }
+
     /// Records the start of an exchange with a target.
     pub(crate) fn exchange_began(&self, now: Instant, typical_latency: Duration) {
         lock(&self.reach).begin(now, typical_latency);
--- a/crates/front/src/delegate.rs
+++ b/crates/front/src/delegate.rs
@@ -34,6 +34,8 @@
 const REPLIES_BYTES_MAX: usize = 16 << 20;
 /// How many gatherers are tried before this host gathers itself.
 const GATHERERS_MAX: usize = 2;
+/// How many gatherers are asked before this host gathers itself, those that reach no target included.
+const GATHERERS_ASKED_MAX: usize = 6;
 /// The typical latency of a gather, as a share of the route's latency objective.
 const TYPICAL_GATHER_OBJECTIVE_SHARE: f64 = 0.6;
 /// A data centre is near the targets when it has at least this share of the targets that the data
@@ -72,6 +74,9 @@
     /// The gatherer refused the request, usually because its configuration has another plan.
     #[display("refused the request; its configuration probably differs")]
     OtherPlan,
+    /// The gatherer reaches no target.
+    #[display("reaches no target itself")]
+    NoTargets,
     /// The connection ended, or a reply was malformed.
     #[display("broke the connection or sent a malformed reply")]
     Broken,
@@ -99,20 +104,21 @@
     if !core.is_enabled(Mechanism::Gatherers) || core.is_gatherer() && near.contains(own) {
         return Delegation::Local { is_repeat: false };
     }
-    delegate_to(core, route, plan, req, answer_at, &near).await
+    let options = GatherOptions { is_repeat: false, answer_at };
+    delegate_to(core, route, plan, req, options, &near).await
 }
 
 /// Delegates a gather to another host, even if this host is a gatherer near the targets; the answer
-/// must be here at `answer_at`.
+/// must be here at the time that the options state.
 pub(crate) async fn delegate_elsewhere(
     core: &Arc<Core>,
     route: &Route,
     plan: &GatherPlan,
     req: &Arc<CallerRequest>,
-    answer_at: Instant,
+    options: GatherOptions,
 ) -> Delegation {
     let near = data_centres(core, plan);
-    delegate_to(core, route, plan, req, answer_at, &near).await
+    delegate_to(core, route, plan, req, options, &near).await
 }
 
 /// Tries gatherers in the data centres `near` the targets, those of the own data centre first.
@@ -121,22 +127,14 @@
     route: &Route,
     plan: &GatherPlan,
     req: &Arc<CallerRequest>,
-    answer_at: Instant,
+    options: GatherOptions,
     near: &[Arc<str>],
 ) -> Delegation {
-    let mut is_repeat = false;
-    let own = &core.options.data_centre;
-    let preferred: Vec<Arc<str>> = near.iter().filter(|name| *name == own).cloned().collect();
+    let GatherOptions { mut is_repeat, answer_at } = options;
     let mut tried = Vec::new();
-    for _ in 0..GATHERERS_MAX {
-        let hosts = core.gatherers.load();
-        let picked =
-            preferred.iter().find_map(|name| hosts.pick(now(), &[name], &tried, PickFilter::NotEjected));
-        let any: Vec<&str> = near.iter().map(|name| &**name).collect();
-        let Some(gatherer) = picked.or_else(|| hosts.pick(now(), &any, &tried, PickFilter::NotEjected))
-        else {
-            break;
-        };
+    let mut failures = 0;
+    while failures < GATHERERS_MAX && tried.len() < GATHERERS_ASKED_MAX {
+        let Some(gatherer) = pick_gatherer(core, near, &tried) else { break };
         tried.push(Arc::clone(&gatherer.replica.id));
         let sent_at = now();
         let message = message(route, plan, req, None, GatherOptions { is_repeat, answer_at });
@@ -163,6 +161,7 @@
                 let detail = format!("route {}: gatherer {} {error}", route.name, gatherer.replica.id);
                 req.log(Code::GathererFailed, &detail);
                 is_repeat |= error.may_have_run();
+                failures += usize::from(error != DelegateError::NoTargets);
                 if error == DelegateError::Broken && has_spare_replicas(core, route, plan) {
                     let reply = GatherReply { may_have_run: true, ..GatherReply::not_run() };
                     return Delegation::Done { reply, ready_at: None };
@@ -173,11 +172,24 @@
     Delegation::Local { is_repeat }
 }
 
+/// Picks a gatherer that was not tried: of the own data centre if that is `near` the targets, of
+/// another one that is, or else of any if this host reaches no target.
+pub(crate) fn pick_gatherer(core: &Core, near: &[Arc<str>], tried: &[Arc<str>]) -> Option<Arc<Target>> {
+    let gatherers = core.gatherers.load();
+    let pick = |names: &[&str]| gatherers.pick(now(), names, tried, PickFilter::NotEjected);
+    let own = &core.options.data_centre;
+    let nearest = near.contains(own).then(|| pick(&[own])).flatten();
+    let near: Vec<&str> = near.iter().map(|name| &**name).collect();
+    let any: Vec<&str> = gatherers.services().collect();
+    let anywhere = || core.is_partitioned().then(|| pick(&any)).flatten();
+    nearest.or_else(|| pick(&near)).or_else(anywhere)
+}
+
 /// Returns whether a shard has more replicas than the route's limit of attempts.
 ///
 /// Which of them a lost gatherer sent the request to is not known, so this host must not send it
 /// to more of them; the caller may retry.
-fn has_spare_replicas(core: &Core, route: &Route, plan: &GatherPlan) -> bool {
+pub(crate) fn has_spare_replicas(core: &Core, route: &Route, plan: &GatherPlan) -> bool {
     let targets = core.targets.load();
     plan.shards.iter().any(|shard| targets.targets_of(shard).len() > route.attempts_max as usize)
 }
@@ -262,6 +274,9 @@
         let head = tokio::time::timeout_at(accept_by, connection.sender.try_send_request(message)).await;
         match head.map_err(|_| DelegateError::NotAccepted)? {
             Ok(res) if res.status() == StatusCode::OK => return Ok((connection, res.into_body())),
+            Ok(res) if res.status() == StatusCode::SERVICE_UNAVAILABLE => {
+                return Err(DelegateError::NoTargets);
+            }
             Ok(_) => return Err(DelegateError::OtherPlan),
             Err(mut error) => {
                 if error.take_message().is_none() {
--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -65,6 +65,8 @@
     gatherers: Vec<Replica>,
     /// How long this host waits for gossip after its start before it reads the store itself.
     bootstrap_delay: Duration,
+    /// When this host last reached targets again after it had reached none.
+    regained_targets_at: Option<Instant>,
 }
 
 impl FleetView {
@@ -79,6 +81,7 @@
             behind_since: None,
             gatherers: Vec::new(),
             bootstrap_delay: draw_bootstrap_delay(),
+            regained_targets_at: None,
         }
     }
 
@@ -191,6 +194,13 @@
         Ok(has_changed)
     }
 
+    /// Records whether this host reaches any target, which its next messages state.
+    pub(crate) fn set_reaches_targets(&mut self, now: Instant, reaches_targets: bool) {
+        if self.membership.set_reaches_targets(reaches_targets) && reaches_targets {
+            self.regained_targets_at = Some(now);
+        }
+    }
+
     /// Returns a message that states which versions this host has.
     pub(crate) fn gossip_message(&mut self, now: Instant) -> GossipMessage {
         GossipMessage {
@@ -247,13 +257,17 @@
     }
 
     /// Merges another host's message; returns whether it changed the configuration or the replicas
-    /// in force, so that it should be pushed on.
+    /// in force, or which hosts reach the targets, so that it should be pushed on.
     pub(crate) fn merge_message(&mut self, now: Instant, message: GossipMessage) -> bool {
+        let mut has_changed = false;
         for member in &message.members {
+            let reached_targets = self.membership.reaches_targets(member.address);
             if self.membership.merge(now, member) {
                 let detail = format!("{} in {}", member.address, member.data_centre);
                 log_event(Code::HostFound, "", &detail);
             }
+            has_changed |= reached_targets.is_some()
+                && reached_targets != self.membership.reaches_targets(member.address);
         }
         self.core.set_hosts(self.membership.size());
         let stated = message.stated_changes();
@@ -261,7 +275,7 @@
         for mark in message.marks {
             self.core.suspects().merge_mark(now, mark);
         }
-        let mut has_changed = message.table.is_some_and(|table| self.install_table(table));
+        has_changed |= message.table.is_some_and(|table| self.install_table(table));
         has_changed |= self.merge_leaving(message.leaving);
         let evacuations_changed = self.evacuations.merge(message.evacuations);
         self.log_evacuations(evacuations_changed);
--- a/crates/front/src/fleet_view/roles.rs
+++ b/crates/front/src/fleet_view/roles.rs
@@ -55,14 +55,17 @@
         near.map(|gatherer| gatherer.address).collect()
     }
 
-    /// Returns the hosts among which the limits of targets are divided.
+    /// Returns the hosts among which the limits of targets are divided: those that reach the targets.
+    ///
+    /// A host that reaches them again waits until the others have learnt that they share with it.
     fn limit_sharers(&self, now: Instant) -> LimitSharers {
-        if self.membership.uptime(now) < JOIN_PERIOD {
+        let is_back = self.regained_targets_at.is_some_and(|at| now < at + JOIN_PERIOD);
+        if self.membership.uptime(now) < JOIN_PERIOD || is_back {
             return LimitSharers::default();
         }
         let port = self.core.options.gathers.port();
-        let hosts =
-            self.membership.live(now).map(|member| SocketAddr::new(member.address.ip(), port)).collect();
+        let sharing = self.membership.live(now).filter(|member| member.reaches_targets);
+        let hosts = sharing.map(|member| SocketAddr::new(member.address.ip(), port)).collect();
         let gatherer = |gatherer: &Replica| (gatherer.address, Arc::clone(&gatherer.data_centre));
         LimitSharers { hosts, gatherers: self.gatherers.iter().map(gatherer).collect() }
     }
@@ -74,6 +77,7 @@
         data_centre: Arc::clone(&member.data_centre),
         millicores: member.millicores,
         parts_per_s: member.parts_per_s,
+        reaches_targets: member.reaches_targets,
     }
 }
 
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -108,6 +108,7 @@
         let mut tasks = vec![
             tokio::spawn(gossip.clone().run()),
             tokio::spawn(gossip.clone().forward_leaving_targets()),
+            tokio::spawn(gossip.clone().follow_reach()),
             tokio::spawn(store_reader::follow(Arc::new(store), gossip.clone())),
         ];
         tasks.push(traffic.spawn(Arc::clone(&core).watch_reach()));
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -1,6 +1,9 @@
 //! Gathers: one answer that is merged from the parts of many shards.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use egret_events::Code;
 use egret_routes::{GatherPlan, Route, merge_top_records};
@@ -13,7 +16,7 @@
     caller_request::CallerRequest,
     clock::now,
     core::Core,
-    delegate::{Delegation, HOST_LATENESS_MAX, delegate, delegate_elsewhere},
+    delegate::{Delegation, HOST_LATENESS_MAX, delegate, delegate_elsewhere, has_spare_replicas},
     fan_out::fan_out,
     fan_out_result::FanOutResult,
     gather_call::GatherReply,
@@ -22,6 +25,10 @@
     reply::{self, CallerReply, DueAt},
 };
 
+/// After what time the caller of a host that reaches no target may retry. The retry reaches another host,
+/// and one check of this host takes as long.
+const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(250);
+
 /// Answers a caller's request on a route that gathers: here, or through a gatherer near the targets.
 pub(crate) async fn gather(
     core: &Arc<Core>,
@@ -41,7 +48,7 @@
         }
     };
     if let Some(come_back_ms) = outcome.come_back_ms {
-        let reason = "too many shards are overloaded: come back later";
+        let reason = "too few shards can be asked now: come back later";
         let secs = come_back_ms as f64 / 1000.0;
         return reply::refused(StatusCode::SERVICE_UNAVAILABLE, reason, Some(secs));
     }
@@ -78,10 +85,20 @@
 ) -> (GatherReply, Option<Instant>) {
     core.instruments.gather("self");
     let answer_at = options.answer_at;
+    if core.is_cut_off() {
+        req.log(
+            Code::RequestRefused,
+            &format!("route {}: no host that reaches the targets is known", route.name),
+        );
+        let come_back_ms = (!options.is_repeat).then_some(NO_TARGET_RETRY_AFTER.as_millis() as u64);
+        return (
+            GatherReply { may_have_run: options.is_repeat, come_back_ms, ..GatherReply::not_run() },
+            None,
+        );
+    }
     let reply = run_gather(core, route, plan, req, options).await;
-    let is_untouched = reply.come_back_ms.is_some() && !reply.may_have_run && !options.is_repeat;
-    if is_untouched && core.is_enabled(Mechanism::ForwardBeforeRefusing) {
-        match delegate_elsewhere(core, route, plan, req, answer_at).await {
+    if let Some(is_repeat) = should_gather_elsewhere(core, route, plan, options, &reply) {
+        match delegate_elsewhere(core, route, plan, req, GatherOptions { is_repeat, answer_at }).await {
             Delegation::Done { reply, ready_at } => {
                 core.instruments.gather("other");
                 return (reply, ready_at.map(|ready_at| ready_at.min(answer_at)));
@@ -96,6 +113,25 @@
     (reply, (ready_at < answer_at + HOST_LATENESS_MAX).then_some(ready_at.min(answer_at)))
 }
 
+/// Returns whether another host should gather after this one failed, and if so, whether the request may
+/// have been sent to targets.
+fn should_gather_elsewhere(
+    core: &Core,
+    route: &Route,
+    plan: &GatherPlan,
+    options: GatherOptions,
+    reply: &GatherReply,
+) -> Option<bool> {
+    let may_have_run = reply.may_have_run || options.is_repeat;
+    let is_refused = reply.come_back_ms.is_some() && !may_have_run;
+    if is_refused && core.is_enabled(Mechanism::ForwardBeforeRefusing) {
+        return Some(false);
+    }
+    // This host lost the targets after it had sent the request to some of them.
+    let has_failed = !reply.is_enough && core.is_partitioned();
+    (has_failed && !has_spare_replicas(core, route, plan)).then_some(may_have_run)
+}
+
 /// Gathers the parts of all shards from this host, some of them through remote gatherers.
 pub(crate) async fn run_gather(
     core: &Arc<Core>,
--- a/crates/front/src/gather_server.rs
+++ b/crates/front/src/gather_server.rs
@@ -69,6 +69,9 @@
         }
         Err(_) => return plain_text(StatusCode::BAD_REQUEST, "the message broke off\n"),
     };
+    if core.is_partitioned() {
+        return plain_text(StatusCode::SERVICE_UNAVAILABLE, "this host reaches no target\n");
+    }
     let Some((call, req)) = decode(&core, &body) else {
         return plain_text(
             StatusCode::BAD_REQUEST,
--- a/crates/front/src/gossip.rs
+++ b/crates/front/src/gossip.rs
@@ -106,10 +106,13 @@
         }
     }
 
-    /// Pushes each change of the configuration or the replicas to some peers at once.
+    /// Pushes each change of the configuration, the replicas or the hosts that reach them to some peers at
+    /// once.
     pub(crate) async fn push(self) {
         loop {
             self.push_requested.notified().await;
+            // Which hosts reach the targets may have changed.
+            lock(&self.fleet).choose_gatherers(now());
             for peer in self.push_peers() {
                 let gossip = self.clone();
                 tokio::spawn(async move { gossip.exchange(peer, PEER_TIMEOUT).await });
@@ -129,6 +132,20 @@
         }
     }
 
+    /// Tells the other hosts when this host reaches no target any more, and when it does again.
+    pub(crate) async fn follow_reach(self) {
+        let mut partitioned = self.core.watch_partition();
+        while partitioned.changed().await.is_ok() {
+            let is_partitioned = *partitioned.borrow_and_update();
+            {
+                let mut fleet = lock(&self.fleet);
+                fleet.set_reaches_targets(now(), !is_partitioned);
+                fleet.choose_gatherers(now());
+            }
+            self.push_requested.notify_one();
+        }
+    }
+
     fn push_peers(&self) -> Vec<SocketAddr> {
         let fleet = lock(&self.fleet);
         fleet.membership.sample_push_peers(now(), PUSH_PEERS, fleet.is_reader())
--- a/crates/front/src/target_set.rs
+++ b/crates/front/src/target_set.rs
@@ -178,6 +178,11 @@
         fastrand::choose_multiple(all.filter(|target| !target.is_retired()).cloned(), max)
     }
 
+    /// Returns the names of the services with targets, sorted.
+    pub(crate) fn services(&self) -> impl Iterator<Item = &str> {
+        self.services.iter().map(|entry| &*entry.service)
+    }
+
     /// Returns the data centres with targets, sorted.
     pub(crate) fn data_centres(&self) -> Vec<Arc<str>> {
         let mut names: Vec<Arc<str>> = Vec::new();
--- a/crates/members/src/member.rs
+++ b/crates/members/src/member.rs
@@ -30,9 +30,16 @@
         /// The [`COMPACT_LAYOUT`] of its build; 0 for builds that do not state it.
         #[serde(default)]
         pub layout: u32,
+        /// Whether it reaches any target; builds that do not state it count as if they did.
+        #[serde(default = "reaches_targets_by_default")]
+        pub reaches_targets: bool,
     }
 }
 
+fn reaches_targets_by_default() -> bool {
+    true
+}
+
 impl Member {
     /// Creates the description of a host of this build that just started.
     #[must_use]
@@ -46,6 +53,7 @@
             millicores: 0,
             parts_per_s: 0,
             layout: COMPACT_LAYOUT,
+            reaches_targets: true,
         }
     }
 
--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -98,6 +98,22 @@
         has_changed
     }
 
+    /// Sets whether this host reaches any target; returns whether that changed.
+    pub fn set_reaches_targets(&mut self, reaches_targets: bool) -> bool {
+        let has_changed = self.own.reaches_targets != reaches_targets;
+        if has_changed {
+            self.own.reaches_targets = reaches_targets;
+            self.own.incarnation += 1;
+        }
+        has_changed
+    }
+
+    /// Returns whether a peer reaches any target, as far as it is known.
+    #[must_use]
+    pub fn reaches_targets(&self, address: SocketAddr) -> Option<bool> {
+        self.find(address).ok().map(|at| self.peers[at].member.reaches_targets)
+    }
+
     /// Marks this host as shutting down; the next messages carry that to the others.
     pub fn leave(&mut self) {
         self.own.state = MemberState::Gone;
--- a/crates/members/tests/layout.rs
+++ b/crates/members/tests/layout.rs
@@ -81,9 +81,9 @@
 fn a_change_of_the_layout_of_messages_raises_its_number() {
     let bytes = egret_wire::encode_compact(&message());
     let fields: Value = egret_wire::decode(&bytes).unwrap();
-    let layout_1 = json!([
+    let layout_2 = json!([
         10,
-        [[{"V4": [[127, 0, 0, 1], 11]}, "d", 12, "live", true, 0, 0, 1]],
+        [[{"V4": [[127, 0, 0, 1], 11]}, "d", 12, "live", true, 0, 0, 2, true]],
         13,
         [1, 14],
         [1, 15],
@@ -104,7 +104,7 @@
         [["i", 28]],
         [[1, 21], ["e"]]
     ]);
-    assert_eq!((fields, COMPACT_LAYOUT), (layout_1, 1), "another layout needs another number");
+    assert_eq!((fields, COMPACT_LAYOUT), (layout_2, 2), "another layout needs another number");
 }
 
 #[test]
--- a/crates/policy/src/gatherers.rs
+++ b/crates/policy/src/gatherers.rs
@@ -15,6 +15,8 @@
     pub millicores: u32,
     /// The rate at which it asks targets for parts of gathers, per second.
     pub parts_per_s: u32,
+    /// Whether it reaches any target; one that does not cannot gather.
+    pub reaches_targets: bool,
 }
 
 /// The least number of gatherers of a data centre: one may be lost.
@@ -35,7 +37,7 @@
 #[must_use]
 pub fn choose_gatherers(hosts: &[GathererCandidate], data_centre: &str) -> Vec<SocketAddr> {
     let mut candidates: Vec<&GathererCandidate> =
-        hosts.iter().filter(|host| *host.data_centre == *data_centre).collect();
+        hosts.iter().filter(|host| *host.data_centre == *data_centre && host.reaches_targets).collect();
     candidates.sort_by_cached_key(|host| {
         std::cmp::Reverse((host.millicores, xxh3_64(host.address.to_string().as_bytes())))
     });
--- a/crates/policy/tests/gathers.rs
+++ b/crates/policy/tests/gathers.rs
@@ -169,9 +169,22 @@
         data_centre: data_centre.into(),
         millicores,
         parts_per_s,
+        reaches_targets: true,
     }
 }
 
+#[test]
+fn a_host_that_reaches_no_target_does_not_gather() {
+    let mut hosts: Vec<GathererCandidate> = (1..=4).map(|last| host(last, "seeb", 170, 0)).collect();
+    let chosen = choose_gatherers(&hosts, "seeb");
+    for host in &mut hosts {
+        host.reaches_targets = host.address != chosen[0];
+    }
+    assert!(!choose_gatherers(&hosts, "seeb").contains(&chosen[0]));
+    hosts.iter_mut().for_each(|host| host.reaches_targets = false);
+    assert!(choose_gatherers(&hosts, "seeb").is_empty());
+}
+
 #[test]
 fn the_hosts_with_most_processor_time_become_gatherers() {
     let mut hosts: Vec<GathererCandidate> = (1..30).map(|last| host(last, "seeb", 84, 0)).collect();
