Forward requests for one target while a host reaches none

Cause: gathers can be handed to another host, requests for one target could not. The class is a host that goes on with its own view of the targets while peers have a better one.

A gatherer sends the request to a target for the partitioned host and passes the whole answer back. The service is chosen by the sender, so shares of a split stay; attempts that the sender made count; a request that may run once goes to another gatherer only if the last one did not take it. Builds that lack the path answer 404, which is not run.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -126,6 +126,8 @@
     TargetsUnreachable = 524, "no target can be reached";
     /// Targets can be reached again from this host.
     TargetsReachable = 525, "targets can be reached again";
+    /// Another host sent a request to a target for this one.
+    RequestForwarded = 526, "request forwarded";
     /// The platform dropped the history after the last known revision.
     StoreHistoryLost = 518, "platform history lost";
     /// The platform's store was restored from a backup.
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -21,8 +21,11 @@
     core::Core,
     fan_out::fan_out,
     fan_out_options::FanOutOptions,
+    forward::{ForwardOptions, forward},
+    forward_call::ForwardReply,
     gather::gather,
     reply::{self, CallerReply},
+    target_answer::TargetAnswer,
     timed_io::Arrival,
 };
 
@@ -161,15 +164,56 @@
     req: &Arc<CallerRequest>,
 ) -> CallerReply {
     let options = fan_out_options(core, route, req, 1, core.answer_due_at(route, req));
+    let mut forward_options = ForwardOptions {
+        answer_at: options.limits.objective_at,
+        attempts_max: options.limits.attempts_max as u32,
+        is_repeat: false,
+    };
+    if core.is_partitioned() {
+        if let Some(reply) = forward(core, route, service, req, forward_options).await {
+            return forwarded(core, route, req, reply);
+        }
+        if core.is_cut_off() {
+            let detail = format!("route {}: no host that reaches the targets is known", route.name);
+            req.log(Code::RequestRefused, &detail);
+            return no_answer(req, route, false, None);
+        }
+    }
     let mut result = fan_out(core, req, route, std::slice::from_ref(service), options, None).await;
     if let Some(answer) = result.parts[0].take() {
         return reply::relayed(answer, &core.options.headers);
     }
     let detail = format!("route {} failed after {} ms: {}", route.name, elapsed_ms(req), result.summary());
     req.log(Code::RequestFailed, &detail);
-    match result.failure.take() {
-        Some(answer) => reply::relayed(answer, &core.options.headers),
-        None => no_answer(req, route, result.may_have_run, result.backoff_left),
+    if let Some(answer) = result.failure.take() {
+        return reply::relayed(answer, &core.options.headers);
+    }
+    // This host lost the targets after it had sent the request to some of them.
+    let sent = if result.may_have_run { 1 + result.extra_attempts } else { 0 };
+    forward_options.attempts_max = forward_options.attempts_max.saturating_sub(sent);
+    forward_options.is_repeat = result.may_have_run;
+    let may_forward = !result.may_have_run || route.idempotent && forward_options.attempts_max > 0;
+    if may_forward
+        && core.is_partitioned()
+        && let Some(reply) = forward(core, route, service, req, forward_options).await
+    {
+        return forwarded(core, route, req, reply);
+    }
+    no_answer(req, route, result.may_have_run, result.backoff_left)
+}
+
+/// Answers a request that another host sent to a target.
+fn forwarded(core: &Core, route: &Route, req: &CallerRequest, reply: ForwardReply) -> CallerReply {
+    match reply.answer.map(TargetAnswer::try_from) {
+        Some(Ok(answer)) => reply::relayed(answer, &core.options.headers),
+        Some(Err(error)) => {
+            req.log(
+                Code::GathererFailed,
+                &format!("route {}: the answer's headers are not valid ({error})", route.name),
+            );
+            no_answer(req, route, true, None)
+        }
+        None => no_answer(req, route, reply.may_have_run, reply.backoff_ms.map(Duration::from_millis)),
     }
 }
 
--- a/crates/front/src/delegate.rs
+++ b/crates/front/src/delegate.rs
@@ -16,6 +16,7 @@
 use crate::{
     Mechanism,
     caller_request::CallerRequest,
+    carried_headers::encode_headers,
     clock::now,
     connection::Connection,
     core::Core,
@@ -35,7 +36,7 @@
 /// How many gatherers are tried before this host gathers itself.
 const GATHERERS_MAX: usize = 2;
 /// How many gatherers are asked before this host gathers itself, those that reach no target included.
-const GATHERERS_ASKED_MAX: usize = 6;
+pub(crate) const GATHERERS_ASKED_MAX: usize = 6;
 /// The typical latency of a gather, as a share of the route's latency objective.
 const TYPICAL_GATHER_OBJECTIVE_SHARE: f64 = 0.6;
 /// A data centre is near the targets when it has at least this share of the targets that the data
@@ -138,9 +139,9 @@
         tried.push(Arc::clone(&gatherer.replica.id));
         let sent_at = now();
         let message = message(route, plan, req, None, GatherOptions { is_repeat, answer_at });
-        let called = call(Arc::clone(&gatherer), route, message).await;
+        let called = call(Arc::clone(&gatherer), GATHER_PATH, route, message).await;
         let reply = match called {
-            Ok(mut replies) => replies.next().await,
+            Ok(mut replies) => replies.next::<GatherReply>().await,
             Err(error) => Err(error),
         };
         match reply {
@@ -224,12 +225,13 @@
         Backend::Gather(plan) => message(route, plan, req, Some(shards), options),
         Backend::One(_) | Backend::Split(_) => Bytes::new(),
     };
-    call(gatherer, route, message)
+    call(gatherer, GATHER_PATH, route, message)
 }
 
 /// Sends a call to a gatherer and waits until it is accepted; returns the reader of its replies.
-fn call(
+pub(crate) fn call(
     gatherer: Arc<Target>,
+    path: &'static str,
     route: &Route,
     message: Bytes,
 ) -> impl Future<Output = Result<FrameReader, DelegateError>> + Send + use<> {
@@ -237,7 +239,7 @@
         Duration::from_millis(route.latency_objective_ms).mul_f64(TYPICAL_GATHER_OBJECTIVE_SHARE);
     async move {
         let mut running = InFlightGuard::begin(Arc::clone(&gatherer), now(), typical_latency);
-        let accepted = send_until_accepted(&gatherer, message).await;
+        let accepted = send_until_accepted(&gatherer, path, message).await;
         match accepted {
             Ok((connection, body)) => Ok(FrameReader::new(connection, running, body)),
             Err(error) => {
@@ -255,6 +257,7 @@
 /// Sends a call on a reused or new connection; returns once the gatherer has accepted it.
 async fn send_until_accepted(
     gatherer: &Arc<Target>,
+    path: &'static str,
     body: Bytes,
 ) -> Result<(Connection, Incoming), DelegateError> {
     let accept_by = tokio::time::Instant::now() + ACCEPT_TIMEOUT;
@@ -269,7 +272,7 @@
         let mut connection = connection.ok().flatten().ok_or(DelegateError::NotSent)?;
         let mut message = Request::new(Full::new(body.clone()));
         *message.method_mut() = Method::POST;
-        *message.uri_mut() = hyper::Uri::from_static(GATHER_PATH);
+        *message.uri_mut() = hyper::Uri::from_static(path);
         connection.allowance.set(REPLIES_BYTES_MAX);
         let head = tokio::time::timeout_at(accept_by, connection.sender.try_send_request(message)).await;
         match head.map_err(|_| DelegateError::NotAccepted)? {
@@ -295,15 +298,12 @@
     shards: Option<&[usize]>,
     options: GatherOptions,
 ) -> Bytes {
-    let headers = req.headers.iter();
-    let headers =
-        headers.map(|(name, value)| (name.as_str().to_owned(), Bytes::copy_from_slice(value.as_bytes())));
     let call = GatherCall {
         route: Arc::clone(&route.name),
         plan: plan.fingerprint(),
         method: req.method.as_str().to_owned(),
         path: req.path().to_owned(),
-        headers: headers.collect(),
+        headers: encode_headers(&req.headers),
         body: req.body.clone(),
         deadline_ms: req.deadline.as_millis() as u64,
         age_ms: now().saturating_duration_since(req.arrived_at).as_millis() as u64,
--- a/crates/front/src/gather_frames.rs
+++ b/crates/front/src/gather_frames.rs
@@ -5,6 +5,7 @@
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{
     clock::now,
@@ -16,11 +17,26 @@
 
 /// The size of the length before each reply, in bytes.
 const LENGTH_BYTES: usize = 4;
-/// The limit of one reply, in bytes: it holds the parts of many shards.
-const REPLY_BYTES_MAX: usize = 4 << 20;
+/// A reply that is sent in frames.
+pub(crate) trait Framed: Serialize + DeserializeOwned {
+    /// The limit of one reply, in bytes.
+    const BYTES_MAX: usize;
+
+    /// Returns whether no further reply follows.
+    fn is_last(&self) -> bool;
+}
+
+impl Framed for GatherReply {
+    /// It holds the parts of many shards.
+    const BYTES_MAX: usize = 4 << 20;
+
+    fn is_last(&self) -> bool {
+        self.is_last
+    }
+}
 
 /// Encodes a reply, preceded by its length.
-pub(crate) fn encode_frame(reply: &GatherReply) -> Bytes {
+pub(crate) fn encode_frame(reply: &impl Framed) -> Bytes {
     let body = egret_wire::encode_compact(reply);
     let mut frame = BytesMut::with_capacity(LENGTH_BYTES + body.len());
     frame.put_u32(body.len() as u32);
@@ -49,10 +65,10 @@
     ///
     /// # Errors
     /// Returns [`DelegateError::Broken`] if the connection ends or the reply cannot be decoded.
-    pub(crate) async fn next(&mut self) -> Result<GatherReply, DelegateError> {
+    pub(crate) async fn next<R: Framed>(&mut self) -> Result<R, DelegateError> {
         loop {
-            if let Some(reply) = self.take_frame()? {
-                if reply.is_last {
+            if let Some(reply) = self.take_frame::<R>()? {
+                if reply.is_last() {
                     self.finish().await;
                 }
                 return Ok(reply);
@@ -66,10 +82,10 @@
     }
 
     /// Decodes the next reply in the buffer; returns `None` if it has not arrived completely.
-    fn take_frame(&mut self) -> Result<Option<GatherReply>, DelegateError> {
+    fn take_frame<R: Framed>(&mut self) -> Result<Option<R>, DelegateError> {
         let Some(head) = self.buf.first_chunk::<LENGTH_BYTES>() else { return Ok(None) };
         let length = u32::from_be_bytes(*head) as usize;
-        if length > REPLY_BYTES_MAX {
+        if length > R::BYTES_MAX {
             return Err(DelegateError::Broken);
         }
         if self.buf.len() < LENGTH_BYTES + length {
--- a/crates/front/src/gather_server.rs
+++ b/crates/front/src/gather_server.rs
@@ -1,15 +1,18 @@
-//! The server of a gatherer: gathers for other hosts.
+//! The server of a gatherer: gathers for other hosts, and sends requests to targets for those that reach none.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use egret_routes::{Backend, GatherPlan, Route, RouteTable};
 use futures_util::stream;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited, StreamBody, combinators::UnsyncBoxBody};
 use hyper::{
-    HeaderMap, Request, Response, StatusCode,
+    Request, Response, StatusCode,
     body::{Frame, Incoming},
-    header::{HeaderName, HeaderValue},
     server::conn::http1,
     service::service_fn,
 };
@@ -22,12 +25,16 @@
 
 use crate::{
     caller_request::{CallerRequest, fingerprint_of},
+    carried_headers::decode_headers,
     clock::now,
     core::Core,
     delegate::GATHER_PATH,
+    forward::FORWARD_PATH,
+    forward_call::ForwardCall,
+    forward_server::{find_route, send_for_other},
     gather::{run_gather, run_parts},
     gather_call::{GatherCall, GatherReply},
-    gather_frames::encode_frame,
+    gather_frames::{Framed, encode_frame},
     gather_options::GatherOptions,
 };
 
@@ -59,9 +66,16 @@
 
 async fn respond(core: Arc<Core>, req: Request<Incoming>) -> GatherResponse {
     let arrived_at = now();
-    if req.uri().path() != GATHER_PATH {
-        return plain_text(StatusCode::NOT_FOUND, "only gathers are served here\n");
-    }
+    let is_gather = match req.uri().path() {
+        GATHER_PATH => true,
+        FORWARD_PATH => false,
+        _ => {
+            return plain_text(
+                StatusCode::NOT_FOUND,
+                "only gathers and forwarded requests are served here\n",
+            );
+        }
+    };
     let body = match Limited::new(req.into_body(), MESSAGE_BYTES_MAX).collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) if error.is::<LengthLimitError>() => {
@@ -72,23 +86,19 @@
     if core.is_partitioned() {
         return plain_text(StatusCode::SERVICE_UNAVAILABLE, "this host reaches no target\n");
     }
-    let Some((call, req)) = decode(&core, &body) else {
-        return plain_text(
-            StatusCode::BAD_REQUEST,
-            "the message cannot be read: check the sender's version\n",
-        );
-    };
+    if is_gather {
+        respond_to_gather(core, arrived_at, &body).await
+    } else {
+        respond_to_forward(core, arrived_at, &body).await
+    }
+}
+
+async fn respond_to_gather(core: Arc<Core>, arrived_at: Instant, body: &[u8]) -> GatherResponse {
+    let Some((call, req)) = decode_gather(&core, body) else { return unreadable() };
     let Some(table) = core.table.load_full().filter(|table| find(table, &call).is_some()) else {
-        return plain_text(StatusCode::CONFLICT, "another configuration is in force here\n");
+        return other_configuration();
     };
-    // The sender may have closed the connection meanwhile and sent the request elsewhere. The HTTP library
-    // sees that when it polls the connection, and drops this future then.
-    for _ in 0..POLLS_UNTIL_CLOSE_IS_SEEN {
-        tokio::task::yield_now().await;
-    }
-    // The head of the response is sent at once and tells the sender that the request is accepted.
-    // Replies follow as they become ready. The gather is aborted when the sender closes the
-    // connection.
+    see_closed_connection().await;
     let (tx, rx) = mpsc::unbounded_channel();
     let task = tokio::spawn(async move {
         if let Some((route, plan)) = find(&table, &call) {
@@ -100,11 +110,46 @@
             let _ = tx.send(GatherReply { held_us, ..reply });
         }
     });
-    let replies = stream::unfold((rx, AbortOnDrop(task)), |(mut rx, task)| async move {
+    accepted(rx, task)
+}
+
+async fn respond_to_forward(core: Arc<Core>, arrived_at: Instant, body: &[u8]) -> GatherResponse {
+    let Some((call, req)) = decode_forward(&core, body) else { return unreadable() };
+    let Some(table) = core.table.load_full().filter(|table| find_route(table, &call).is_some()) else {
+        return other_configuration();
+    };
+    see_closed_connection().await;
+    let (tx, rx) = mpsc::unbounded_channel();
+    let task = tokio::spawn(async move {
+        if let Some(route) = find_route(&table, &call) {
+            let answer_at = arrived_at + Duration::from_micros(call.answer_in_us);
+            // Sending fails if the other host has closed the connection.
+            let _ = tx.send(send_for_other(&core, route, &call, req, answer_at).await);
+        }
+    });
+    accepted(rx, task)
+}
+
+/// Lets the HTTP library see whether the sender has closed the connection meanwhile and sent the request
+/// elsewhere; it drops this future then.
+async fn see_closed_connection() {
+    for _ in 0..POLLS_UNTIL_CLOSE_IS_SEEN {
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Returns the response of an accepted call. Its head is sent at once and tells the sender that the
+/// call is accepted. Replies follow as they become ready; the task is aborted when the sender closes the
+/// connection.
+fn accepted<R: Framed + Send + 'static>(
+    replies: mpsc::UnboundedReceiver<R>,
+    task: JoinHandle<()>,
+) -> GatherResponse {
+    let frames = stream::unfold((replies, AbortOnDrop(task)), |(mut rx, task)| async move {
         let reply = rx.recv().await?;
         Some((Ok::<_, Infallible>(Frame::data(encode_frame(&reply))), (rx, task)))
     });
-    Response::new(StreamBody::new(replies).boxed_unsync())
+    Response::new(StreamBody::new(frames).boxed_unsync())
 }
 
 /// Aborts a gather when its replies are no longer read.
@@ -143,28 +188,59 @@
     }
 }
 
-fn decode(core: &Core, body: &[u8]) -> Option<(GatherCall, CallerRequest)> {
+fn decode_gather(core: &Core, body: &[u8]) -> Option<(GatherCall, CallerRequest)> {
     let call: GatherCall = egret_wire::decode(body).ok()?;
-    let mut headers = HeaderMap::with_capacity(call.headers.len());
-    for (name, value) in &call.headers {
-        headers.append(name.parse::<HeaderName>().ok()?, HeaderValue::from_bytes(value).ok()?);
-    }
-    let uri: hyper::Uri = call.path.parse().ok()?;
-    let req = CallerRequest {
-        id: headers.get(&core.options.headers.request_id)?.clone(),
-        method: call.method.parse().ok()?,
-        host: String::new(),
-        headers,
-        body: call.body.clone(),
-        arrived_at: now().checked_sub(Duration::from_millis(call.age_ms))?,
-        is_new_connection: false,
-        deadline: Duration::from_millis(call.deadline_ms),
-        fingerprint: fingerprint_of(&uri, &call.body),
-        uri,
-    };
+    let GatherCall { method, path, headers, body, deadline_ms, age_ms, .. } = &call;
+    let carried = CarriedRequest { method, path, headers, body, deadline_ms: *deadline_ms, age_ms: *age_ms };
+    let req = carried.into_caller_request(core)?;
     Some((call, req))
 }
 
+fn decode_forward(core: &Core, body: &[u8]) -> Option<(ForwardCall, CallerRequest)> {
+    let call: ForwardCall = egret_wire::decode(body).ok()?;
+    let ForwardCall { method, path, headers, body, deadline_ms, age_ms, .. } = &call;
+    let carried = CarriedRequest { method, path, headers, body, deadline_ms: *deadline_ms, age_ms: *age_ms };
+    let req = carried.into_caller_request(core)?;
+    Some((call, req))
+}
+
+/// A caller's request in a message of another host.
+struct CarriedRequest<'a> {
+    method: &'a str,
+    path: &'a str,
+    headers: &'a [(String, Bytes)],
+    body: &'a Bytes,
+    deadline_ms: u64,
+    age_ms: u64,
+}
+
+impl CarriedRequest<'_> {
+    fn into_caller_request(self, core: &Core) -> Option<CallerRequest> {
+        let headers = decode_headers(self.headers)?;
+        let uri: hyper::Uri = self.path.parse().ok()?;
+        Some(CallerRequest {
+            id: headers.get(&core.options.headers.request_id)?.clone(),
+            method: self.method.parse().ok()?,
+            host: String::new(),
+            headers,
+            body: self.body.clone(),
+            arrived_at: now().checked_sub(Duration::from_millis(self.age_ms))?,
+            is_new_connection: false,
+            deadline: Duration::from_millis(self.deadline_ms),
+            fingerprint: fingerprint_of(&uri, self.body),
+            uri,
+        })
+    }
+}
+
+fn unreadable() -> GatherResponse {
+    plain_text(StatusCode::BAD_REQUEST, "the message cannot be read: check the sender's version\n")
+}
+
+fn other_configuration() -> GatherResponse {
+    plain_text(StatusCode::CONFLICT, "another configuration is in force here\n")
+}
+
 fn plain_text(status: StatusCode, text: &'static str) -> GatherResponse {
     let mut reply = Response::new(Full::new(Bytes::from_static(text.as_bytes())).boxed_unsync());
     *reply.status_mut() = status;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -11,6 +11,7 @@
 //! 2. `caller_request` reads the whole request, `answer` finds its route;
 //! 3. a request for many shards goes to a gatherer, a host near their targets: `delegate` sends it,
 //!    `gather_server` receives it there;
+//!    While this host reaches no target, `forward` sends other requests to a gatherer, too;
 //! 4. `fan_out` sends a request to one replica of each service that the route needs; `egret_policy`
 //!    decides which replica, when to hedge, and when to answer or refuse;
 //! 5. `exchange` sends one request over one `connection` to one `target`;
@@ -25,6 +26,7 @@
 mod bounded_io;
 mod caller_connection;
 mod caller_request;
+mod carried_headers;
 mod clock;
 mod connection;
 mod core;
@@ -35,6 +37,9 @@
 mod fan_out_options;
 mod fan_out_result;
 mod fleet_view;
+mod forward;
+mod forward_call;
+mod forward_server;
 mod front;
 mod gather;
 mod gather_call;
