Mark no request as crashing its target when the host lost its links

Requests of a host whose connections to all targets broke were marked as crashing them, up to three times within a millisecond; marks are gossiped, so that after two of them every host refuses the request for a minute.

Cause: a target that accepts no connection after a request broke was taken to have crashed. The host now also connects to other targets and marks the request only if one of them can be reached.

--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -333,7 +333,7 @@
     }
 
     /// Checks whether a request whose connection broke crashed its target, and marks it as suspect
-    /// if the target accepts no connection.
+    /// if the target accepts no connection while another one does.
     pub(crate) fn check_for_crash(self: &Arc<Self>, target: Arc<Target>, req: &CallerRequest) {
         let core = Arc::clone(self);
         let fingerprint = req.fingerprint;
@@ -344,6 +344,10 @@
                 connection.keep(&target);
                 return;
             }
+            if !core.reaches_another_target(&target).await {
+                // This host lost its links; the request need not have to do with it.
+                return;
+            }
             let now = now();
             let breaks = lock(&core.suspects).record_break(now, fingerprint, true);
             let detail =
