Forget failures of targets once a host reaches targets again

Cause: ejections double up to 8 s, and the slowness of exchanges that were given up, were learned through links that were cut. Now both are forgotten when the host reaches targets again. Backoffs that targets asked for stay, as targets stated them. failures_that_are_forgotten_leave_a_target_as_it_was_and_its_backoff_in_force checks the policy; the method it tests is new.

--- a/crates/front/src/core/reach.rs
+++ b/crates/front/src/core/reach.rs
@@ -112,6 +112,7 @@
             }
             Some(ReachChange::Regained(after)) => {
                 log_event(Code::TargetsReachable, "", &format!("after {after:?}"));
+                self.targets.load().forget_failures();
                 self.partitioned.send_replace(false);
             }
             None => {}
--- a/crates/front/src/target_set.rs
+++ b/crates/front/src/target_set.rs
@@ -172,6 +172,13 @@
         sum
     }
 
+    /// Forgets the failures of all targets.
+    pub(crate) fn forget_failures(&self) {
+        for target in self.services.iter().flat_map(|entry| &entry.targets) {
+            target.state().load.forget_failures();
+        }
+    }
+
     /// Draws at most `max` random targets.
     pub(crate) fn sample(&self, max: usize) -> Vec<Arc<Target>> {
         let all = self.services.iter().flat_map(|entry| &entry.targets);
--- a/crates/policy/src/target_load.rs
+++ b/crates/policy/src/target_load.rs
@@ -199,6 +199,16 @@
         self.backoff_until = self.backoff_until.max(earlier.backoff_until);
     }
 
+    /// Forgets failures and slowness: they were those of this host's links. Backoffs that the target asked
+    /// for stay.
+    pub fn forget_failures(&mut self) {
+        self.slowness = DEFAULT_SLOWNESS;
+        self.sampled_at = None;
+        (self.failures, self.ejections) = (0, 0);
+        self.has_failed = false;
+        self.ejected_until = None;
+    }
+
     /// Returns the number of exchanges in flight.
     #[must_use]
     pub fn in_flight(&self) -> usize {
--- a/crates/policy/tests/targets.rs
+++ b/crates/policy/tests/targets.rs
@@ -33,6 +33,21 @@
     assert!(load.cost(then + Duration::from_secs(10)) < 1.2);
 }
 
+#[test]
+fn failures_that_are_forgotten_leave_a_target_as_it_was_and_its_backoff_in_force() {
+    let start = Instant::now();
+    let mut load = TargetLoad::new(2);
+    load.back_off(start, ms(500), 0.0);
+    load.begin(start, TYPICAL_LATENCY);
+    load.end(start + ms(250), start, ExchangeEnd::Unreachable);
+    load.begin(start + ms(260), TYPICAL_LATENCY);
+    load.end(start + ms(600), start + ms(260), ExchangeEnd::Abandoned);
+    assert!(load.is_ejected(start + ms(700)) && load.slowness(start + ms(700)) > 2.0);
+    load.forget_failures();
+    assert!(!load.is_ejected(start + ms(700)) && load.slowness(start + ms(700)) < 1.1);
+    assert_eq!(load.backoff_left(start + ms(100)), ms(400));
+}
+
 #[test]
 fn reported_requests_make_a_target_expensive_but_not_slow() {
     let start = Instant::now();
