Give up exchanges in flight when a host loses all targets

Cause: nothing tells an exchange over a silent connection that the host is partitioned.

idempotent_requests_in_flight_when_all_targets_fall_silent_are_answered got 504 without the change in fan_out.rs, and passes with it.

--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -12,6 +12,7 @@
 use egret_policy::{GatherLimits, GatherProgress, GatherStep};
 use egret_routes::{Backend, Route};
 use futures_util::{FutureExt, StreamExt, stream::FuturesUnordered};
+use tokio::sync::watch;
 
 use self::{
     attempts::{AttemptEnd, NextAttempt},
@@ -61,6 +62,8 @@
     /// Attempts that reached a target or may have, by service.
     delivered: Vec<usize>,
     result: FanOutResult,
+    /// Whether this host lost all targets since the fan-out began, so that no attempt will be answered.
+    has_lost_targets: bool,
 }
 
 /// Sends a request to one replica of each service, and hedges and retries, until enough parts
@@ -99,11 +102,13 @@
             may_have_run: options.is_repeat,
             ..FanOutResult::new(services.len())
         },
+        has_lost_targets: false,
     };
     if let Err(retry_after) = fan_out.skip_overloaded() {
         fan_out.result.overload_retry_after = Some(retry_after);
         return fan_out.result;
     }
+    let mut partition = core.watch_partition();
     let mut running = FuturesUnordered::new();
     let gatherers = fan_out.remote_gatherers();
     for (gatherer, shards) in gatherers {
@@ -122,6 +127,10 @@
     running.extend(attempts.into_iter().map(|attempt| fan_out.run_attempt(attempt).boxed()));
     loop {
         fan_out.send_due_parts();
+        if fan_out.has_lost_targets && options.may_retry {
+            fan_out.result.is_enough = fan_out.progress.received_parts() >= options.limits.min_shards;
+            return fan_out.finish(!running.is_empty());
+        }
         let more = match fan_out.progress.next_step(now()) {
             GatherStep::Hedge(shard) => {
                 let hedge = fan_out.hedge(shard);
@@ -144,7 +153,7 @@
                     return fan_out.finish(!running.is_empty());
                 }
                 if more.is_empty() {
-                    wait(&mut running, &mut fan_out, now() + SKIPPED_CHECK_INTERVAL).await
+                    wait(&mut running, &mut fan_out, &mut partition, now() + SKIPPED_CHECK_INTERVAL).await
                 } else {
                     more.into_iter().map(Next::Attempt).collect()
                 }
@@ -155,7 +164,7 @@
                 } else {
                     until.min(now() + SKIPPED_CHECK_INTERVAL)
                 };
-                wait(&mut running, &mut fan_out, until).await
+                wait(&mut running, &mut fan_out, &mut partition, until).await
             }
         };
         running.extend(more.into_iter().map(|next| match next {
@@ -165,9 +174,14 @@
     }
 }
 
-/// Waits for the end of an attempt or the reply of a gatherer, at most until `until`; returns what
-/// to run next.
-async fn wait<F>(running: &mut FuturesUnordered<F>, fan_out: &mut FanOut<'_>, until: Instant) -> Vec<Next>
+/// Waits for the end of an attempt, the reply of a gatherer or the loss of all targets, at most until
+/// `until`; returns what to run next.
+async fn wait<F>(
+    running: &mut FuturesUnordered<F>,
+    fan_out: &mut FanOut<'_>,
+    partition: &mut watch::Receiver<bool>,
+    until: Instant,
+) -> Vec<Next>
 where
     F: Future<Output = FanOutEvent>,
 {
@@ -179,6 +193,10 @@
             FanOutEvent::Attempt(attempt) => fan_out.on_attempt_end(attempt).into_iter().map(Next::Attempt).collect(),
             FanOutEvent::RemoteReply(reply) => fan_out.on_remote_reply(reply),
         },
+        Ok(()) = partition.changed() => {
+            fan_out.has_lost_targets = fan_out.core.is_cut_off();
+            Vec::new()
+        }
         () = tokio::time::sleep_until(until.into()) => {
             fan_out.readmit(ReadmitWhen::LikelyInTime).into_iter().map(Next::Attempt).collect()
         }
