Do not reuse connections between hosts that may have gone silent

Cause: connections of the HTTP client stayed in its pool for 30 s, and the library sets TCP_USER_TIMEOUT to 30 s and the first probe to 15 s by itself; so an exchange went over a silent connection, got no answer, and its peer looked dead. The class is a library default that decides when a failure is noticed. Connections to targets and of callers set their own.

Idle connections are now kept for 3 s, probed after 3 s, and end 4 s after the last sign of the peer.

--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -91,7 +91,15 @@
 
 const MEDIA_TYPE_JSON: &str = "application/json";
 const MEDIA_TYPE_MSGPACK: &str = "application/msgpack";
-const IDLE_CONNECTION_TIMEOUT: Duration = Duration::from_secs(30);
+/// A connection that went silent while it was idle would delay the exchange that reuses it, and make its peer
+/// look dead.
+const IDLE_CONNECTION_TIMEOUT: Duration = Duration::from_secs(3);
+/// After how long without data the peer is probed.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(3);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// How long sent bytes and probes may stay unacknowledged. It also decides when probes give up, whatever their
+/// number; the library's default is 30 s.
+const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(4);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 /// The maximum size of a response body; a whole configuration and all replicas must fit.
 const RESPONSE_BYTES_MAX: usize = 8 << 20;
@@ -126,6 +134,9 @@
             .pool_idle_timeout(IDLE_CONNECTION_TIMEOUT)
             .connect_timeout(CONNECT_TIMEOUT)
             .tcp_nodelay(true)
+            .tcp_keepalive(KEEPALIVE_TIME)
+            .tcp_keepalive_interval(KEEPALIVE_INTERVAL)
+            .tcp_user_timeout(UNACKNOWLEDGED_MAX)
             .build()
             .expect("the HTTP client can be built without external resources");
         Self { connector: Connector::Network(inner), response_bytes_max: RESPONSE_BYTES_MAX }
