Decode calls of other hosts in one function

Callers see no difference. The two kinds of calls were decoded by the same lines twice, a method of TargetReach had no use, and the methods on the reach of targets stood in two blocks. docs/PLATFORM.md names the forwarding.

--- a/crates/front/src/core/reach.rs
+++ b/crates/front/src/core/reach.rs
@@ -82,6 +82,17 @@
         }
     }
 
+    /// Returns whether a connection to any of some other targets opens.
+    pub(crate) async fn reaches_another_target(&self, target: &Arc<Target>) -> bool {
+        if self.is_partitioned() {
+            return false;
+        }
+        let mut others = self.targets.load().sample(CHECKED_TARGETS + 1);
+        others.retain(|other| !Arc::ptr_eq(other, target));
+        // With no other target there is nothing to compare with.
+        others.is_empty() || join_all(others.iter().map(can_be_reached)).await.contains(&true)
+    }
+
     fn check_reach_if_due(self: &Arc<Self>) {
         if lock(&self.reach).start_check(now()) {
             tokio::spawn(Arc::clone(self).check_reach());
@@ -120,19 +131,6 @@
     }
 }
 
-impl Core {
-    /// Returns whether a connection to any of some other targets opens.
-    pub(crate) async fn reaches_another_target(&self, target: &Arc<Target>) -> bool {
-        if self.is_partitioned() {
-            return false;
-        }
-        let mut others = self.targets.load().sample(CHECKED_TARGETS + 1);
-        others.retain(|other| !Arc::ptr_eq(other, target));
-        // With no other target there is nothing to compare with.
-        others.is_empty() || join_all(others.iter().map(can_be_reached)).await.contains(&true)
-    }
-}
-
 async fn can_be_reached(target: &Arc<Target>) -> bool {
     let Some(connection) = Connection::open(target).await else { return false };
     tokio::time::sleep(CHECKED_CONNECTION_TIME).await;
--- a/crates/front/src/gather_server.rs
+++ b/crates/front/src/gather_server.rs
@@ -17,6 +17,7 @@
     service::service_fn,
 };
 use hyper_util::rt::TokioIo;
+use serde::de::DeserializeOwned;
 use tokio::{
     net::TcpStream,
     sync::{mpsc, watch},
@@ -94,7 +95,7 @@
 }
 
 async fn respond_to_gather(core: Arc<Core>, arrived_at: Instant, body: &[u8]) -> GatherResponse {
-    let Some((call, req)) = decode_gather(&core, body) else { return unreadable() };
+    let Some((call, req)) = decode::<GatherCall>(&core, body) else { return unreadable() };
     let Some(table) = core.table.load_full().filter(|table| find(table, &call).is_some()) else {
         return other_configuration();
     };
@@ -114,7 +115,7 @@
 }
 
 async fn respond_to_forward(core: Arc<Core>, arrived_at: Instant, body: &[u8]) -> GatherResponse {
-    let Some((call, req)) = decode_forward(&core, body) else { return unreadable() };
+    let Some((call, req)) = decode::<ForwardCall>(&core, body) else { return unreadable() };
     let Some(table) = core.table.load_full().filter(|table| find_route(table, &call).is_some()) else {
         return other_configuration();
     };
@@ -188,19 +189,14 @@
     }
 }
 
-fn decode_gather(core: &Core, body: &[u8]) -> Option<(GatherCall, CallerRequest)> {
-    let call: GatherCall = egret_wire::decode(body).ok()?;
-    let GatherCall { method, path, headers, body, deadline_ms, age_ms, .. } = &call;
-    let carried = CarriedRequest { method, path, headers, body, deadline_ms: *deadline_ms, age_ms: *age_ms };
-    let req = carried.into_caller_request(core)?;
-    Some((call, req))
-}
-
-fn decode_forward(core: &Core, body: &[u8]) -> Option<(ForwardCall, CallerRequest)> {
-    let call: ForwardCall = egret_wire::decode(body).ok()?;
-    let ForwardCall { method, path, headers, body, deadline_ms, age_ms, .. } = &call;
-    let carried = CarriedRequest { method, path, headers, body, deadline_ms: *deadline_ms, age_ms: *age_ms };
-    let req = carried.into_caller_request(core)?;
+/// Decodes a call and the caller's request in it.
+fn decode<C>(core: &Core, body: &[u8]) -> Option<(C, CallerRequest)>
+where
+    C: DeserializeOwned,
+    for<'a> CarriedRequest<'a>: From<&'a C>,
+{
+    let call: C = egret_wire::decode(body).ok()?;
+    let req = CarriedRequest::from(&call).into_caller_request(core)?;
     Some((call, req))
 }
 
@@ -214,6 +210,20 @@
     age_ms: u64,
 }
 
+impl<'a> From<&'a GatherCall> for CarriedRequest<'a> {
+    fn from(call: &'a GatherCall) -> Self {
+        let &GatherCall { ref method, ref path, ref headers, ref body, deadline_ms, age_ms, .. } = call;
+        Self { method, path, headers, body, deadline_ms, age_ms }
+    }
+}
+
+impl<'a> From<&'a ForwardCall> for CarriedRequest<'a> {
+    fn from(call: &'a ForwardCall) -> Self {
+        let &ForwardCall { ref method, ref path, ref headers, ref body, deadline_ms, age_ms, .. } = call;
+        Self { method, path, headers, body, deadline_ms, age_ms }
+    }
+}
+
 impl CarriedRequest<'_> {
     fn into_caller_request(self, core: &Core) -> Option<CallerRequest> {
         let headers = decode_headers(self.headers)?;
--- a/crates/policy/src/target_reach.rs
+++ b/crates/policy/src/target_reach.rs
@@ -115,12 +115,6 @@
         self.lost_at.is_some()
     }
 
-    /// Returns whether a target has answered at or after `since`.
-    #[must_use]
-    pub fn has_answer_since(&self, since: Instant) -> bool {
-        self.answered_at.is_some_and(|at| at >= since)
-    }
-
     /// Returns the time since a target last answered.
     #[must_use]
     pub fn answer_age(&self, now: Instant) -> Option<Duration> {
