--- a/review/harness/src/client.rs
+++ b/review/harness/src/client.rs
@@ -66,7 +66,9 @@
     match read_message(&mut BufReader::new(stream)) {
         Ok(Some(answer)) => (answer.status(), answer.body, "answered"),
         Ok(None) => (0, Vec::new(), "closed"),
-        Err(error) if matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {
+        Err(error)
+            if matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) =>
+        {
             (0, Vec::new(), "no answer within the time budget")
         }
         Err(_) => (0, Vec::new(), "broken"),
--- a/review/harness/src/crashing_query.rs
+++ b/review/harness/src/crashing_query.rs
@@ -37,7 +37,8 @@
         }
     }
     store.put("op/config", &config());
-    let fleet = Fleet { folder: folder.clone(), store: store.address, zone: "seeb", ips: loopback_ips(HOSTS) };
+    let fleet =
+        Fleet { folder: folder.clone(), store: store.address, zone: "seeb", ips: loopback_ips(HOSTS) };
     let hosts: Vec<Host> = (0..HOSTS).map(|at| fleet.spawn_host(at)).collect();
     hosts.iter().for_each(Host::wait_ready);
     std::thread::sleep(Duration::from_millis(5000));
@@ -112,8 +113,11 @@
 
 fn config() -> String {
     let shards: Vec<String> = (0..SHARDS).map(|shard| format!("\"s{shard}\"")).collect();
-    let service =
-        |shard| format!("{{\"name\":\"s{shard}\",\"health_path\":\"/health\",\"max_conns\":58,\"protocol\":\"h1\",\"tls\":false}}");
+    let service = |shard| {
+        format!(
+            "{{\"name\":\"s{shard}\",\"health_path\":\"/health\",\"max_conns\":58,\"protocol\":\"h1\",\"tls\":false}}"
+        )
+    };
     let services: Vec<String> = (0..SHARDS).map(service).collect();
     format!(
         "{{\"version\":1,\"routes\":[{{\"name\":\"r-all\",\"host\":\"wells.example\",\"prefix\":\"/all/\",\
--- a/review/harness/src/crashing_request.rs
+++ b/review/harness/src/crashing_request.rs
@@ -16,7 +16,7 @@
 /// Ordinary requests; the replicas could run three times as many.
 const PER_SECOND: u64 = 60;
 const CRASHING_AFTER: Duration = Duration::from_millis(3000);
-const CRASHING_EVERY: Duration = Duration::from_millis(250);
+const CRASHING_EVERY: Duration = Duration::from_millis(150);
 const LENGTH: Duration = Duration::from_millis(72_000);
 const BUDGET_MS: u64 = 5000;
 const STABLE_WINDOW: Duration = Duration::from_millis(4000);
@@ -33,7 +33,8 @@
         store.put(&format!("servers/{id}"), &replica.entry("seeb"));
     }
     store.put("op/config", &config());
-    let fleet = Fleet { folder: folder.clone(), store: store.address, zone: "seeb", ips: loopback_ips(HOSTS) };
+    let fleet =
+        Fleet { folder: folder.clone(), store: store.address, zone: "seeb", ips: loopback_ips(HOSTS) };
     let hosts: Vec<Host> = (0..HOSTS).map(|at| fleet.spawn_host(at)).collect();
     hosts.iter().for_each(Host::wait_ready);
     std::thread::sleep(Duration::from_millis(5000));
@@ -84,9 +85,9 @@
 /// machines in touch later than `stable_window_ms` after it has crashed the third."
 fn judge(record: &mut Record, outcomes: &[Outcome], runs: &[Run]) -> Verdict {
     let crashes: Vec<&Run> = runs.iter().filter(|run| run.path == CRASHING_PATH).collect();
-    let late = crashes.get(2).map_or(0, |third| {
-        crashes.iter().filter(|run| run.at > third.at + STABLE_WINDOW).count()
-    });
+    let late = crashes
+        .get(2)
+        .map_or(0, |third| crashes.iter().filter(|run| run.at > third.at + STABLE_WINDOW).count());
     let ordinary: Vec<&Outcome> = outcomes.iter().filter(|outcome| outcome.path != CRASHING_PATH).collect();
     let lost = ordinary.iter().filter(|outcome| outcome.status == 502).count();
     record.note(&format!(
--- a/review/harness/src/frozen_gatherer.rs
+++ b/review/harness/src/frozen_gatherer.rs
@@ -37,7 +37,8 @@
         }
     }
     store.put("op/config", &config());
-    let fleet = Fleet { folder: folder.clone(), store: store.address, zone: "seeb", ips: loopback_ips(HOSTS) };
+    let fleet =
+        Fleet { folder: folder.clone(), store: store.address, zone: "seeb", ips: loopback_ips(HOSTS) };
     let hosts: Vec<Host> = (0..HOSTS).map(|at| fleet.spawn_host(at)).collect();
     hosts.iter().for_each(Host::wait_ready);
     // Until the hosts know each other and have chosen who gathers.
@@ -83,7 +84,8 @@
     outcomes.sort_by_key(|outcome| outcome.sent_at);
     for outcome in &outcomes {
         let Outcome { id, path, host, sent_at, took, status, end, body } = outcome;
-        let line = format!("{host} {id} {path}: {status} {end} after {} ms, {} bytes", took.as_millis(), body.len());
+        let line =
+            format!("{host} {id} {path}: {status} {end} after {} ms, {} bytes", took.as_millis(), body.len());
         record.at(*sent_at, &line);
     }
     for run in runs.lock().expect("no panic").iter() {
@@ -114,14 +116,18 @@
 fn gatherers(host: &Host) -> Vec<String> {
     let log = host.log();
     let line = log.lines().rev().find(|line| line.contains("gatherers")).unwrap_or_default();
-    let detail = line.split("\"detail\":\"").nth(1).and_then(|rest| rest.split('"').next()).unwrap_or_default();
+    let detail =
+        line.split("\"detail\":\"").nth(1).and_then(|rest| rest.split('"').next()).unwrap_or_default();
     detail.split(' ').filter_map(|address| Some(address.split_once(':')?.0.to_owned())).collect()
 }
 
 fn config() -> String {
     let shards: Vec<String> = (0..SHARDS).map(|shard| format!("\"s{shard}\"")).collect();
-    let service =
-        |shard| format!("{{\"name\":\"s{shard}\",\"health_path\":\"/health\",\"max_conns\":400,\"protocol\":\"h1\",\"tls\":false}}");
+    let service = |shard| {
+        format!(
+            "{{\"name\":\"s{shard}\",\"health_path\":\"/health\",\"max_conns\":400,\"protocol\":\"h1\",\"tls\":false}}"
+        )
+    };
     let services: Vec<String> = (0..SHARDS).map(service).collect();
     format!(
         "{{\"version\":1,\"routes\":[{{\"name\":\"r-all\",\"host\":\"wells.example\",\"prefix\":\"/all/\",\
--- a/review/harness/src/host.rs
+++ b/review/harness/src/host.rs
@@ -139,7 +139,9 @@
 
 impl Host {
     pub fn is_ready(&self) -> bool {
-        let Ok(mut stream) = TcpStream::connect_timeout(&self.ready, Duration::from_millis(500)) else { return false };
+        let Ok(mut stream) = TcpStream::connect_timeout(&self.ready, Duration::from_millis(500)) else {
+            return false;
+        };
         stream.set_read_timeout(Some(Duration::from_millis(500))).ok();
         let question = format!("GET /egretcross/ready HTTP/1.1\r\nHost: {}\r\n\r\n", self.ready);
         if stream.write_all(question.as_bytes()).is_err() {
--- a/review/harness/src/http.rs
+++ b/review/harness/src/http.rs
@@ -49,8 +49,9 @@
             message.headers.push((name.to_owned(), value.trim().to_owned()));
         }
     }
-    let is_chunked =
-        message.header("transfer-encoding").is_some_and(|value| value.to_ascii_lowercase().contains("chunked"));
+    let is_chunked = message
+        .header("transfer-encoding")
+        .is_some_and(|value| value.to_ascii_lowercase().contains("chunked"));
     if is_chunked {
         loop {
             line.clear();
--- a/review/harness/src/replica.rs
+++ b/review/harness/src/replica.rs
@@ -86,7 +86,13 @@
         let id = request.header("x-request-id").unwrap_or_default().to_owned();
         let path = request.second_word().to_owned();
         let (replica, service) = (self.id.clone(), self.service.clone());
-        self.runs.lock().expect("no panic").push(Run { at: Instant::now(), id: id.clone(), path, replica, service });
+        self.runs.lock().expect("no panic").push(Run {
+            at: Instant::now(),
+            id: id.clone(),
+            path,
+            replica,
+            service,
+        });
         self.running.fetch_add(1, Ordering::SeqCst);
         std::thread::sleep(self.work);
         let running = self.running.fetch_sub(1, Ordering::SeqCst) - 1;
--- a/review/harness/src/store.rs
+++ b/review/harness/src/store.rs
@@ -95,7 +95,8 @@
             items.insert(&change.key, change);
         }
         let mut items: Vec<&Change> = items.into_values().collect();
-        items.retain(|item| item.value.is_some() && item.key.starts_with(prefix) && item.key.as_str() > after);
+        items
+            .retain(|item| item.value.is_some() && item.key.starts_with(prefix) && item.key.as_str() > after);
         let page: Vec<String> = items.iter().take(PAGE_ITEMS).map(|item| item_json(item)).collect();
         format!(
             "{{\"items\":[{}],\"has_more\":{},\"at_rev\":{}}}",
@@ -113,7 +114,8 @@
             if after > state.revision {
                 return (410, "{}".to_owned());
             }
-            let new = state.history.iter().filter(|item| item.revision > after && item.key.starts_with(prefix));
+            let new =
+                state.history.iter().filter(|item| item.revision > after && item.key.starts_with(prefix));
             let events: Vec<String> = new.map(item_json).collect();
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
