Review: count retries of crashing requests by when they were sent

The checks of review/1 and review/3 counted an arrival by the moment at which its run began. They now count a client attempt by the moment at which it was sent, later than stable_window_ms after the third replica crashed, as the rule has it; the first form could count an attempt that was sent before.

--- a/review/harness/src/crashing_query.rs
+++ b/review/harness/src/crashing_query.rs
@@ -6,6 +6,7 @@
 use crate::client::{Ask, Outcome, request};
 use crate::crashing::{CrashingReplica, Work};
 use crate::host::{Fleet, Host, loopback_ips, remove, temporary_folder};
+use crate::judge::late_retries;
 use crate::random::Random;
 use crate::replica::{Run, Runs};
 use crate::store::Store;
@@ -20,7 +21,6 @@
 const LENGTH: Duration = Duration::from_millis(40_000);
 /// The clients' `X-Deadline-Ms` and the route's `timeout_ms`, those of `log-sweep` on the sheet.
 const BUDGET_MS: u64 = 3000;
-const STABLE_WINDOW: Duration = Duration::from_millis(4000);
 const CRASHING_PATH: &str = "/all/bad";
 
 pub fn play(record: &mut Record, trouble: bool) -> Verdict {
@@ -87,18 +87,11 @@
 
 /// BUDGET: "A request that crashes the replicas that run it reaches replicas in more than three retries, sent by
 /// machines in touch later than `stable_window_ms` after it has crashed the third."
-///
-/// Arrivals of one client attempt count as one retry.
 fn judge(record: &mut Record, outcomes: &[Outcome], runs: &[Run]) -> Verdict {
     let crashes: Vec<&Run> = runs.iter().filter(|run| run.path == CRASHING_PATH).collect();
-    let mut late: Vec<&str> = Vec::new();
-    if let Some(third) = crashes.get(2) {
-        let is_late = |run: &&&Run| run.at > third.at + STABLE_WINDOW;
-        late.extend(crashes.iter().filter(is_late).map(|run| run.id.as_str()));
-    }
-    let arrivals = late.len();
-    late.sort_unstable();
-    late.dedup();
+    let late = late_retries(&crashes, outcomes);
+    let is_late = |run: &&&Run| late.iter().any(|outcome| outcome.id == run.id);
+    let arrivals = crashes.iter().filter(is_late).count();
     let ordinary: Vec<&Outcome> = outcomes.iter().filter(|outcome| outcome.path != CRASHING_PATH).collect();
     let served = ordinary.iter().filter(|outcome| outcome.status == 200).count();
     record.note(&format!(
--- a/review/harness/src/crashing_request.rs
+++ b/review/harness/src/crashing_request.rs
@@ -6,6 +6,7 @@
 use crate::client::{Ask, Outcome, request};
 use crate::crashing::{CrashingReplica, Work};
 use crate::host::{Fleet, Host, loopback_ips, remove, temporary_folder};
+use crate::judge::late_retries;
 use crate::random::Random;
 use crate::replica::{Run, Runs};
 use crate::store::Store;
@@ -19,7 +20,6 @@
 const CRASHING_EVERY: Duration = Duration::from_millis(150);
 const LENGTH: Duration = Duration::from_millis(72_000);
 const BUDGET_MS: u64 = 5000;
-const STABLE_WINDOW: Duration = Duration::from_millis(4000);
 const CRASHING_PATH: &str = "/one/bad";
 
 pub fn play(record: &mut Record, trouble: bool) -> Verdict {
@@ -85,13 +85,11 @@
 /// machines in touch later than `stable_window_ms` after it has crashed the third."
 fn judge(record: &mut Record, outcomes: &[Outcome], runs: &[Run]) -> Verdict {
     let crashes: Vec<&Run> = runs.iter().filter(|run| run.path == CRASHING_PATH).collect();
-    let late = crashes
-        .get(2)
-        .map_or(0, |third| crashes.iter().filter(|run| run.at > third.at + STABLE_WINDOW).count());
+    let late = late_retries(&crashes, outcomes).len();
     let ordinary: Vec<&Outcome> = outcomes.iter().filter(|outcome| outcome.path != CRASHING_PATH).collect();
     let lost = ordinary.iter().filter(|outcome| outcome.status == 502).count();
     record.note(&format!(
-        "the crashing request reached replicas {} times, {late} of them later than stable_window_ms after its third \
+        "the crashing request reached replicas {} times, in {late} retries later than stable_window_ms after its third \
          crash; of {} ordinary requests {lost} ended with 502",
         crashes.len(),
         ordinary.len()
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -3,6 +3,7 @@
 mod client;
 mod host;
 mod http;
+mod judge;
 mod random;
 mod replica;
 mod store;
