Admit whole gathers while the targets' queues are short

Cause: a gather was admitted part by part.

Change: the host that runs gathers holds a limit on those in flight for each index (additive increase, multiplicative decrease), which follows the queues that targets report; others wait in the order of their priority for a quarter of the objective at most, or are refused before any part is sent.

--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     Mechanism, Options,
+    admission::Admission,
     answer_memory::AnswerMemory,
     caller_request::CallerRequest,
     clock::now,
@@ -92,6 +93,8 @@
     /// The time budgets that callers state, by route.
     stated_budgets: Mutex<Vec<NamedEntry<CallerBudgets>>>,
     pub(crate) answer_memory: AnswerMemory,
+    /// The gathers that run or wait on this host.
+    pub(crate) admission: Mutex<Admission>,
     /// Runs of targets that announced that they shut down, until the control thread takes them.
     leaving: Mutex<Vec<ReplicaRun>>,
     has_leaving: Notify,
@@ -109,6 +112,7 @@
             table: ArcSwapOption::default(),
             targets: ArcSwap::default(),
             suspects: Mutex::default(),
+            admission: Mutex::default(),
             instruments: Instruments::open(),
             gatherers: ArcSwap::default(),
             hosts: AtomicUsize::new(1),
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -204,7 +204,7 @@
     if head.headers.get(&names.request_id).is_some_and(|id| *id != req.id) {
         return ExchangeResult::Lost(LossCause::Foreign);
     }
-    apply_load_report(core, target, &head.headers, options.typical_latency);
+    let queued_per_slot = apply_load_report(core, target, &head.headers, options.typical_latency);
     // Only a successful answer is a part; a failure is passed on or dropped as it is.
     let top_k = options.top_k.filter(|_| head.status.is_success());
     let body = match read_body(core, &connection, body, top_k).await {
@@ -232,7 +232,7 @@
     }
     // The headers of a part are not used.
     let headers = if top_k.is_some() { HeaderMap::new() } else { head.headers };
-    let answer = TargetAnswer { status: head.status, headers, receipt, body };
+    let answer = TargetAnswer { status: head.status, headers, receipt, body, queued_per_slot };
     if answer.status.is_success() { ExchangeResult::Success(answer) } else { ExchangeResult::Failure(answer) }
 }
 
@@ -313,15 +313,20 @@
     }
 }
 
-fn apply_load_report(core: &Core, target: &Target, headers: &HeaderMap, typical_latency: Duration) {
-    let load = headers.get(&core.options.headers.load).and_then(|value| value.to_str().ok());
-    let mut numbers =
-        load.into_iter().flat_map(|text| text.split(',')).map(|item| item.trim().parse::<u32>());
-    if let (Some(Ok(running)), Some(Ok(waiting))) = (numbers.next(), numbers.next())
-        && core.is_enabled(Mechanism::LoadReports)
-    {
+/// Applies the load that a target reports; returns the requests that wait there as a multiple of its slots.
+fn apply_load_report(
+    core: &Core,
+    target: &Target,
+    headers: &HeaderMap,
+    typical_latency: Duration,
+) -> Option<f64> {
+    let load = headers.get(&core.options.headers.load).and_then(|value| value.to_str().ok())?;
+    let mut numbers = load.split(',').map(|item| item.trim().parse::<u32>());
+    let (Some(Ok(running)), Some(Ok(waiting))) = (numbers.next(), numbers.next()) else { return None };
+    if core.is_enabled(Mechanism::LoadReports) {
         target.state().load.report(now(), running.saturating_add(waiting), typical_latency);
     }
+    Some(f64::from(waiting) / f64::from(target.replica.slots.max(1)))
 }
 
 /// Returns how long the target keeps an idle connection, if its `Keep-Alive` header states whole
--- a/crates/front/src/fan_out/attempts.rs
+++ b/crates/front/src/fan_out/attempts.rs
@@ -15,6 +15,9 @@
     target_set::PickFilter,
 };
 
+/// The queue that is assumed at a target that shed a request, as a multiple of its slots.
+const SHED_QUEUE_PER_SLOT: f64 = 4.0;
+
 /// An attempt to be made, with the target that was chosen for it.
 pub(super) struct NextAttempt {
     pub(super) shard: usize,
@@ -116,6 +119,7 @@
             ExchangeResult::Success(answer) => {
                 self.core.with_latency(self.route, |latency| latency.add(attempt.latency));
                 self.core.instruments.part(attempt.latency);
+                self.result.queued_per_slot.extend(answer.queued_per_slot);
                 self.progress.record_part(shard);
                 self.result.may_have_run = true;
                 if self.result.remote_receipts[shard].is_none() {
@@ -145,6 +149,7 @@
                 }
             }
             ExchangeResult::NotRun(_) => {
+                self.result.queued_per_slot.push(SHED_QUEUE_PER_SLOT);
                 if !self.progress.record_failure(shard) {
                     self.progress.abandon_shard(shard);
                     if !self.progress.has_part(shard) && self.progress.is_abandoned(shard) {
--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -111,6 +111,7 @@
             headers: decode_headers(&answer.headers).ok_or(DelegateError::Broken)?,
             receipt: receipt.map_err(|_| DelegateError::Broken)?,
             body: answer.body,
+            queued_per_slot: None,
         })
     }
 }
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -6,12 +6,14 @@
 };
 
 use egret_events::Code;
+use egret_policy::needed_queue;
 use egret_routes::{GatherPlan, Route, merge_top_records};
 use hyper::{StatusCode, header::HeaderValue};
 use tokio::sync::mpsc;
 
 use crate::{
     Mechanism,
+    admission::admit,
     answer::{elapsed_ms, fan_out_options, no_answer},
     caller_request::CallerRequest,
     clock::now,
@@ -140,11 +142,21 @@
     req: &Arc<CallerRequest>,
     options: GatherOptions,
 ) -> GatherReply {
+    let mut admitted = match admit(core, route, plan, req, options).await {
+        Ok(admitted) => admitted,
+        Err(come_back) => {
+            let come_back_ms = Some(come_back.as_millis() as u64);
+            return GatherReply { come_back_ms, ..GatherReply::not_run() };
+        }
+    };
     core.count_parts(plan.shards.len());
     let mut fan_options = fan_out_options(core, route, req, plan.least_shards(), options.answer_at);
     fan_options.is_repeat = options.is_repeat;
     fan_options.may_use_remote_gatherers = true;
     let result = fan_out(core, req, route, &plan.shards, fan_options, None).await;
+    if let Some(admitted) = &mut admitted {
+        admitted.report(needed_queue(&result.queued_per_slot, plan.least_share), fan_options.typical_latency);
+    }
     log_result(req, route, &result);
     let receipts = result.receipts().into_iter().map(|(at, receipt)| (at as u32, receipt)).collect();
     GatherReply {
--- a/crates/front/src/instruments.rs
+++ b/crates/front/src/instruments.rs
@@ -18,6 +18,7 @@
     exchanges: Counter<u64>,
     connections: Counter<u64>,
     gathers: Counter<u64>,
+    admissions: Counter<u64>,
     forwards: Counter<u64>,
     store_calls: Counter<u64>,
     gossip_exchanges: Counter<u64>,
@@ -39,6 +40,8 @@
             exchanges: metrics.counter("exchanges", "Exchanges with targets by their end."),
             connections: metrics.counter("connections_opened", "Connections opened to targets."),
             gathers: metrics.counter("gathers", "Gathers by who asked the targets."),
+            admissions: metrics
+                .counter("admissions", "Gathers by whether they started, waited or were refused."),
             forwards: metrics
                 .counter("forwards", "Requests for one target sent to other hosts, by their end."),
             store_calls: metrics.counter("store_calls", "Calls to the platform's store by their end."),
@@ -77,6 +80,10 @@
         self.gathers.add(1, &[label("by", by)]);
     }
 
+    pub(crate) fn admission(&self, end: &'static str) {
+        self.admissions.add(1, &[label("end", end)]);
+    }
+
     pub(crate) fn forward(&self, end: &'static str) {
         self.forwards.add(1, &[label("end", end)]);
     }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -21,6 +21,7 @@
 //! this host knows. `store_reader` updates it from the store if this host is one of the few readers,
 //! and `gossip` exchanges it with other hosts. docs/PLATFORM.md compares the alternatives.
 
+mod admission;
 mod answer;
 mod answer_memory;
 mod bounded_io;
--- a/crates/front/src/mechanism.rs
+++ b/crates/front/src/mechanism.rs
@@ -35,6 +35,9 @@
     ShardShedding = "leaving-out";
     /// A request that too many overloaded shards would delay is refused at once.
     EarlyRefusal = "start-refusal";
+    /// A gather starts only while the targets' queues are short; others wait in the order of their
+    /// priority or are refused.
+    QueryAdmission = "query-admission";
     /// A request that a host would refuse is first forwarded to another host.
     ForwardBeforeRefusing = "second-opinion";
     /// An answer with enough parts is sent shortly before the latency objective, without the missing
--- a/crates/front/src/metrics_site.rs
+++ b/crates/front/src/metrics_site.rs
@@ -35,6 +35,7 @@
         let core = &self.core;
         let now = now();
         let state = core.targets.load().totals(now);
+        let admission = core.admission().totals();
         let version = core.table.load().as_ref().map_or(0, |table| table.version().0);
         vec![
             ("config_version", version as f64),
@@ -47,6 +48,9 @@
                 core.target_answer_age(now).map_or(-1.0, |age| age.as_secs_f64() * 1000.0),
             ),
             ("evacuated_data_centres", core.evacuated_data_centres() as f64),
+            ("admission_limit", admission.limit),
+            ("admission_in_flight", admission.in_flight as f64),
+            ("admission_queued", admission.queued as f64),
             ("targets", state.targets as f64),
             ("targets_avoided", state.ejected as f64),
             ("slots_in_use", state.in_flight as f64),
--- a/crates/front/src/target_answer.rs
+++ b/crates/front/src/target_answer.rs
@@ -12,6 +12,8 @@
     /// The target's signature over its answer.
     pub(crate) receipt: Option<HeaderValue>,
     pub(crate) body: Bytes,
+    /// The requests that waited at the target as it answered, as a multiple of its slots, if it reports them.
+    pub(crate) queued_per_slot: Option<f64>,
 }
 
 /// Why a request that was sent has no usable answer; the target may have run it.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -37,6 +37,7 @@
 //! - [`Contention`]: services that recently refused work for lack of slots.
 //! - [`RelayHealth`], [`PauseDetector`]: which relays are down, and whether this process paused.
 //! - [`GatherProgress`], [`choose_shards`]: hedges, early answers and skipped shards of a gather.
+//! - [`QueryAdmission`]: start, queue or refuse whole queries while demand exceeds what targets complete in time.
 //! - [`TargetLoad`], [`RetryBudget`]: load estimates and limits on extra attempts at
 //!   targets.
 //! - [`RequestLimit`], [`LimitShare`]: the limit on requests that a target states for all hosts.
@@ -46,9 +47,11 @@
 //! docs/DESIGN.md explains the trade-offs of each.
 
 mod admission;
+mod admission_queue;
 mod baseline;
 mod block_owners;
 mod caller_budgets;
+mod concurrency_limit;
 mod contention;
 mod dispatcher;
 mod drain_signal;
@@ -57,6 +60,7 @@
 mod latency;
 mod lead_time;
 mod pause;
+mod query_admission;
 mod queue;
 mod relay_health;
 mod remote_shard_groups;
@@ -64,6 +68,7 @@
 mod replica_choice;
 mod request_limit;
 mod retry_budget;
+mod return_schedule;
 mod shard_choice;
 mod snapshot;
 mod store_readers;
@@ -77,9 +82,11 @@
 mod weighted_draw;
 mod work;
 
+pub use admission_queue::{AdmissionQueue, QueuedQuery};
 pub use baseline::{Baseline, BaselineError};
 pub use block_owners::{OWNER_CANDIDATES, RelayHost, owner_candidates};
 pub use caller_budgets::CallerBudgets;
+pub use concurrency_limit::ConcurrencyLimit;
 pub use contention::Contention;
 pub use dispatcher::{Dispatcher, Limits};
 pub use drain_signal::DrainSignal;
@@ -88,11 +95,13 @@
 pub use latency::LatencyWindow;
 pub use lead_time::{AnswerDelivery, LeadTimeEstimator};
 pub use pause::PauseDetector;
+pub use query_admission::{QueryAdmission, QueryArrival, QueryEnd, QueryVerdict, needed_queue};
 pub use relay_health::RelayHealth;
 pub use remote_shard_groups::{RemoteShardGroup, group_remote_shards};
 pub use replica::{HealthReport, LIVENESS_TTL, ReplicaPhase, SnapshotPlacement};
 pub use request_limit::{LimitShare, RequestLimit};
 pub use retry_budget::{RetryBudget, RetryLimits};
+pub use return_schedule::ReturnSchedule;
 pub use shard_choice::{ShardChoice, ShardEstimate, choose_shards, max_expected_latency};
 pub use snapshot::{ServiceSnapshots, choose_snapshot};
 pub use store_readers::{store_reader_count, store_readers, store_retry_backoff};
--- /dev/null
+++ b/crates/policy/src/query_admission.rs
@@ -0,0 +1,226 @@
+//! Admission of whole queries over one index: start, queue or refuse.
+//!
+//! It answers a demand above what the targets can complete in time. A query that starts then makes all others late, and
+//! its own parts may run in vain. See docs/design/query-admission.md.
+
+use std::time::{Duration, Instant};
+
+use crate::{AdmissionQueue, ConcurrencyLimit, QueuedQuery, ReturnSchedule};
+
+/// The queueing delay at the targets that is allowed, as a share of the tightest latency objective on the index.
+const QUEUEING_DELAY_SHARE: f64 = 0.25;
+/// How long a query may wait before it starts, as a share of its objective: a refusal must come that early to be of use.
+const WAIT_OBJECTIVE_SHARE: f64 = 0.25;
+/// The weight of a new sample in moving averages.
+const EWMA_WEIGHT: f64 = 0.1;
+/// The duration of a query before there are samples, as a share of its objective.
+const INITIAL_DURATION_SHARE: f64 = 0.5;
+/// How long a kind of query counts for the allowed delay after its last request.
+const KIND_TTL: Duration = Duration::from_secs(10);
+/// How fast the usual time budget of a kind of query falls where smaller ones arrive, as a share per request.
+const BUDGET_DECAY: f64 = 0.01;
+
+/// A query that arrives at the host that will run it.
+#[derive(Clone, Copy, Debug)]
+pub struct QueryArrival {
+    /// Identifies the query at its host.
+    pub id: u64,
+    /// The priority of its route; 0 is the highest.
+    pub priority: u32,
+    /// The latency objective of its route.
+    pub objective: Duration,
+    /// When its caller's request arrived at the system.
+    pub arrived_at: Instant,
+    /// When its answer is due, to reach the caller within the objective.
+    pub due_at: Instant,
+    /// The time budget that its caller states.
+    pub budget: Duration,
+    /// Whether it must start now: another host may have started it before.
+    pub must_start: bool,
+}
+
+/// What happens to a query that arrives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QueryVerdict {
+    /// It starts now.
+    Start,
+    /// It waits, at most until this time.
+    Wait(Instant),
+    /// It is refused; its caller may return after this time.
+    Refuse(Duration),
+}
+
+/// What a query that ended says about the load of the targets.
+#[derive(Clone, Copy, Debug)]
+pub struct QueryEnd {
+    /// The priority of its route.
+    pub priority: u32,
+    /// The latency objective of its route.
+    pub objective: Duration,
+    /// When it started.
+    pub began_at: Instant,
+    /// The mean length of the queues at the targets whose parts it needed, as a multiple of their slots; `None` if no
+    /// target reported one.
+    pub queued_per_slot: Option<f64>,
+    /// The typical service time of its parts.
+    pub service_time: Duration,
+}
+
+/// The queries of one route, as far as admission tells them apart.
+#[derive(Clone, Copy, Debug)]
+struct QueryKind {
+    priority: u32,
+    objective: Duration,
+    last_arrival: Instant,
+    /// The usual duration of such a query, in seconds.
+    duration_s: f64,
+    /// The time budget that its callers usually state, in seconds.
+    budget_s: f64,
+}
+
+/// Admission of the queries that one host runs over one index.
+#[derive(Clone, Debug, Default)]
+pub struct QueryAdmission {
+    limit: ConcurrencyLimit,
+    queue: AdmissionQueue,
+    returns: ReturnSchedule,
+    in_flight: usize,
+    /// Sorted by priority and objective.
+    kinds: Vec<QueryKind>,
+    /// The typical service time of parts over all kinds of queries, in seconds.
+    service_time_s: f64,
+    duration_s: f64,
+}
+
+impl QueryAdmission {
+    /// Decides about a query that arrives.
+    pub fn offer(&mut self, now: Instant, query: QueryArrival) -> QueryVerdict {
+        let kind = self.arrive(now, &query);
+        if query.must_start || self.queue.is_empty() && self.limit.allows(now, self.in_flight) {
+            self.in_flight += 1;
+            return QueryVerdict::Start;
+        }
+        let spent = Duration::from_secs_f64((kind.budget_s - query.budget.as_secs_f64()).max(0.0));
+        let duration = Duration::from_secs_f64(kind.duration_s);
+        let promptly = query.arrived_at + query.objective.mul_f64(WAIT_OBJECTIVE_SHARE);
+        let in_time = query.due_at.checked_sub(duration).unwrap_or(now);
+        let queued = QueuedQuery {
+            id: query.id,
+            priority: query.priority,
+            has_returned: self.returns.is_return(now, spent),
+            queued_at: now,
+            wait_until: promptly.min(in_time),
+        };
+        let expected_wait = (self.queue.ahead_of(&queued) + 1) as f64 / self.starts_per_s();
+        if now + Duration::from_secs_f64(expected_wait) > queued.wait_until {
+            return QueryVerdict::Refuse(self.refuse(now));
+        }
+        self.queue.push(queued);
+        QueryVerdict::Wait(queued.wait_until)
+    }
+
+    /// Takes the queries out of the queue that start now.
+    pub fn start_queued(&mut self, now: Instant) -> Vec<u64> {
+        let mut started = Vec::new();
+        while self.limit.allows(now, self.in_flight) {
+            let Some(query) = self.queue.pop(now) else { break };
+            self.in_flight += 1;
+            started.push(query.id);
+        }
+        started
+    }
+
+    /// Returns when to call [`Self::start_queued`] again although no query ends before: the limit is below one.
+    #[must_use]
+    pub fn paused_until(&self) -> Option<Instant> {
+        self.limit.paused_until().filter(|_| self.in_flight == 0 && !self.queue.is_empty())
+    }
+
+    /// Removes a query from the queue whose caller no longer waits; returns whether it was there.
+    pub fn cancel(&mut self, id: u64) -> bool {
+        self.queue.remove(id)
+    }
+
+    /// Refuses a query that has waited for too long; returns when its caller may return, or `None` if it has started.
+    pub fn expire(&mut self, now: Instant, id: u64) -> Option<Duration> {
+        self.queue.remove(id).then(|| self.refuse(now))
+    }
+
+    /// Records the end of a query that started; `None` if it was abandoned.
+    pub fn end(&mut self, now: Instant, end: Option<QueryEnd>) {
+        let in_flight = self.in_flight;
+        self.in_flight = in_flight.saturating_sub(1);
+        let Some(end) = end else { return };
+        let duration = now.saturating_duration_since(end.began_at).as_secs_f64();
+        average(&mut self.duration_s, duration);
+        average(&mut self.service_time_s, end.service_time.as_secs_f64());
+        if let Ok(at) = self.find(end.priority, end.objective) {
+            average(&mut self.kinds[at].duration_s, duration);
+        }
+        let allowed = self.allowed_delay(now).as_secs_f64();
+        let congestion = end.queued_per_slot.map(|queued| queued * self.service_time_s / allowed);
+        self.limit.record(now, end.began_at, in_flight, congestion);
+    }
+
+    /// Returns the limit, the queries in flight and those in the queue.
+    #[must_use]
+    pub fn load(&self) -> (f64, usize, usize) {
+        (self.limit.limit(), self.in_flight, self.queue.len())
+    }
+
+    fn refuse(&mut self, now: Instant) -> Duration {
+        let starts_per_s = self.starts_per_s();
+        self.returns.promise(now, starts_per_s)
+    }
+
+    fn starts_per_s(&self) -> f64 {
+        self.limit.starts_per_s(Duration::from_secs_f64(self.duration_s))
+    }
+
+    /// Returns the queueing delay at the targets at which all kinds of queries can still be in time.
+    fn allowed_delay(&self, now: Instant) -> Duration {
+        let recent =
+            self.kinds.iter().filter(|kind| now.saturating_duration_since(kind.last_arrival) < KIND_TTL);
+        let tightest = recent.map(|kind| kind.objective).min().unwrap_or(Duration::from_secs(1));
+        tightest.mul_f64(QUEUEING_DELAY_SHARE)
+    }
+
+    fn arrive(&mut self, now: Instant, query: &QueryArrival) -> QueryKind {
+        let budget_s = query.budget.as_secs_f64();
+        let at = match self.find(query.priority, query.objective) {
+            Ok(at) => at,
+            Err(at) => {
+                let duration_s = query.objective.as_secs_f64() * INITIAL_DURATION_SHARE;
+                let QueryArrival { priority, objective, .. } = *query;
+                self.kinds
+                    .insert(at, QueryKind { priority, objective, last_arrival: now, duration_s, budget_s });
+                at
+            }
+        };
+        let kind = &mut self.kinds[at];
+        kind.last_arrival = now;
+        kind.budget_s = budget_s.max(kind.budget_s + BUDGET_DECAY * (budget_s - kind.budget_s));
+        *kind
+    }
+
+    fn find(&self, priority: u32, objective: Duration) -> Result<usize, usize> {
+        self.kinds.binary_search_by_key(&(priority, objective), |kind| (kind.priority, kind.objective))
+    }
+}
+
+/// Returns the mean queue at the targets whose parts a query needs, as a multiple of their slots; `None` if no target
+/// reported one.
+///
+/// `queued_per_slot` holds the queues of all targets that it asked. An answer may leave out the shards with the longest
+/// ones, beyond `least_share`.
+#[must_use]
+pub fn needed_queue(queued_per_slot: &[f64], least_share: f64) -> Option<f64> {
+    let mut queues = queued_per_slot.to_vec();
+    queues.sort_unstable_by(f64::total_cmp);
+    queues.truncate((queues.len() as f64 * least_share).ceil() as usize);
+    (!queues.is_empty()).then(|| queues.iter().sum::<f64>() / queues.len() as f64)
+}
+
+fn average(mean: &mut f64, sample: f64) {
+    *mean = if *mean == 0.0 { sample } else { *mean + EWMA_WEIGHT * (sample - *mean) };
+}
--- a/crates/routes/src/gather_plan.rs
+++ b/crates/routes/src/gather_plan.rs
@@ -24,14 +24,25 @@
     /// Hosts compare it to detect that they hold different versions of a plan.
     #[must_use]
     pub fn fingerprint(&self) -> Fingerprint {
+        let mut hash = self.hash_shards();
+        hash.update(&self.top_k.to_le_bytes());
+        hash.update(&self.least_share.to_le_bytes());
+        Fingerprint(hash.digest())
+    }
+
+    /// Returns a hash of the shards alone: routes over the same index share it.
+    #[must_use]
+    pub fn index_hash(&self) -> u64 {
+        self.hash_shards().digest()
+    }
+
+    fn hash_shards(&self) -> Xxh3 {
         let mut hash = Xxh3::new();
         for shard in &self.shards {
             hash.update(shard.as_bytes());
             hash.update(&[0]);
         }
-        hash.update(&self.top_k.to_le_bytes());
-        hash.update(&self.least_share.to_le_bytes());
-        Fingerprint(hash.digest())
+        hash
     }
 
     /// Returns the minimum number of shards that an answer must cover; at least one.
