Start higher ranks first, and promise refused callers a return they can keep

Change: the limit grows whenever it binds; ranks of priority and return state share the starts; a return is promised within the time that a caller can wait.

--- a/crates/policy/src/admission_queue.rs
+++ b/crates/policy/src/admission_queue.rs
@@ -1,28 +1,27 @@
 //! The queue of queries that wait until the concurrency limit lets them start.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-/// Under contention, one start in this many goes to the lowest priority in the queue, so that it does not starve.
-const STARTS_PER_LOWEST_PRIORITY: u32 = 8;
+use crate::QueryRank;
 
 /// A query that waits for its start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QueuedQuery {
     /// Identifies the query at its host.
     pub id: u64,
-    /// The priority of its route; 0 is the highest.
-    pub priority: u32,
-    /// Whether its caller was refused before and returns when it was told to.
-    pub has_returned: bool,
+    /// Its place among queries that compete for a start.
+    pub rank: QueryRank,
     /// When it was queued.
     pub queued_at: Instant,
     /// When it can no longer be answered in time, or promptly refused.
     pub wait_until: Instant,
+    /// How long its caller can wait before it returns, if it is refused.
+    pub patience: Duration,
 }
 
 impl QueuedQuery {
-    fn order(&self) -> (u32, bool, Instant, u64) {
-        (self.priority, !self.has_returned, self.queued_at, self.id)
+    fn order(&self) -> (QueryRank, Instant, u64) {
+        (self.rank, self.queued_at, self.id)
     }
 }
 
@@ -31,7 +30,6 @@
 pub struct AdmissionQueue {
     /// Sorted by [`QueuedQuery::order`].
     queries: Vec<QueuedQuery>,
-    contended_starts: u32,
 }
 
 impl AdmissionQueue {
@@ -53,11 +51,10 @@
         self.queries.insert(at, query);
     }
 
-    /// Removes a query; returns whether it was in the queue.
-    pub fn remove(&mut self, id: u64) -> bool {
-        let before = self.queries.len();
-        self.queries.retain(|query| query.id != id);
-        self.queries.len() < before
+    /// Removes a query, if it is in the queue.
+    pub fn remove(&mut self, id: u64) -> Option<QueuedQuery> {
+        let at = self.queries.iter().position(|query| query.id == id)?;
+        Some(self.queries.remove(at))
     }
 
     /// Returns how many queries in the queue would start before this one.
@@ -66,20 +63,10 @@
         self.queries.partition_point(|other| other.order() < query.order())
     }
 
-    /// Takes the query that starts next, the highest priority first; those that have waited too long are passed over.
-    pub fn pop(&mut self, now: Instant) -> Option<QueuedQuery> {
-        let mut waiting = self.queries.iter().enumerate().filter(|(_, query)| now <= query.wait_until);
-        let (first, highest) = waiting.next()?;
-        let lowest = waiting.next_back().filter(|(_, last)| last.priority > highest.priority);
-        let Some((_, last)) = lowest else { return Some(self.queries.remove(first)) };
-        self.contended_starts += 1;
-        if self.contended_starts < STARTS_PER_LOWEST_PRIORITY {
-            return Some(self.queries.remove(first));
-        }
-        self.contended_starts = 0;
-        let priority = last.priority;
-        let at =
-            self.queries.iter().position(|query| query.priority == priority && now <= query.wait_until)?;
+    /// Takes the query that starts next: the highest rank that `may_start`, then the longest wait. Queries that have
+    /// waited too long are passed over.
+    pub fn pop(&mut self, now: Instant, may_start: impl Fn(QueryRank) -> bool) -> Option<QueuedQuery> {
+        let at = self.queries.iter().position(|query| now <= query.wait_until && may_start(query.rank))?;
         Some(self.queries.remove(at))
     }
 }
--- a/crates/policy/src/concurrency_limit.rs
+++ b/crates/policy/src/concurrency_limit.rs
@@ -10,8 +10,9 @@
 const LIMIT_MAX: f64 = 256.0;
 /// The share of the limit that one decrease takes off at most, at a delay of twice the allowed one or more.
 const DECREASE_MAX: f64 = 0.4;
-/// The share of the limit in flight from which the limit counts as binding, so that it may increase.
-const BINDING_SHARE: f64 = 0.75;
+/// Below this share of the allowed delay the targets have room to spare, and each query that ends while the limit binds
+/// raises it by one, so that it doubles within one round trip.
+const SPARE_CONGESTION: f64 = 0.4;
 
 /// A limit on the queries in flight: additive increase, multiplicative decrease.
 ///
@@ -68,12 +69,13 @@
             if self.decreased_at.is_none_or(|at| began_at >= at) {
                 let decrease = (DECREASE_MAX * (congestion - 1.0)).min(DECREASE_MAX);
                 // Where the limit is far above what is in flight, a decrease starts from there.
-                let from = self.limit.min(in_flight.max(1) as f64 / BINDING_SHARE);
+                let from = self.limit.min((in_flight + 1) as f64);
                 self.limit = (from * (1.0 - decrease)).max(LIMIT_MIN);
                 self.decreased_at = Some(now);
             }
-        } else if in_flight as f64 >= self.limit * BINDING_SHARE {
-            self.limit = (self.limit + 1.0 / self.limit.max(1.0)).min(LIMIT_MAX);
+        } else if (in_flight + 1) as f64 > self.limit {
+            let increase = if congestion < SPARE_CONGESTION { 1.0 } else { 1.0 / self.limit.max(1.0) };
+            self.limit = (self.limit + increase).min(LIMIT_MAX);
         }
     }
 
--- a/crates/policy/src/query_admission.rs
+++ b/crates/policy/src/query_admission.rs
@@ -5,12 +5,16 @@
 
 use std::time::{Duration, Instant};
 
-use crate::{AdmissionQueue, ConcurrencyLimit, QueuedQuery, ReturnSchedule};
+use crate::{
+    AdmissionQueue, ConcurrencyLimit, QueryRank, QueuedQuery, ReturnSchedule, start_shares::StartShares,
+};
 
 /// The queueing delay at the targets that is allowed, as a share of the tightest latency objective on the index.
 const QUEUEING_DELAY_SHARE: f64 = 0.25;
 /// How long a query may wait before it starts, as a share of its objective: a refusal must come that early to be of use.
 const WAIT_OBJECTIVE_SHARE: f64 = 0.25;
+/// The share of the time that it has left after which a caller that was told to wait returns at the latest.
+const PATIENCE_SHARE: f64 = 1.0 / 3.0;
 /// The weight of a new sample in moving averages.
 const EWMA_WEIGHT: f64 = 0.1;
 /// The duration of a query before there are samples, as a share of its objective.
@@ -83,6 +87,7 @@
 pub struct QueryAdmission {
     limit: ConcurrencyLimit,
     queue: AdmissionQueue,
+    shares: StartShares,
     returns: ReturnSchedule,
     in_flight: usize,
     /// Sorted by priority and objective.
@@ -96,35 +101,46 @@
     /// Decides about a query that arrives.
     pub fn offer(&mut self, now: Instant, query: QueryArrival) -> QueryVerdict {
         let kind = self.arrive(now, &query);
-        if query.must_start || self.queue.is_empty() && self.limit.allows(now, self.in_flight) {
-            self.in_flight += 1;
+        let spent = Duration::from_secs_f64((kind.budget_s - query.budget.as_secs_f64()).max(0.0));
+        let rank = QueryRank { priority: query.priority, returning: self.returns.return_state(now, spent) };
+        let allowed = self.limit.allows(now, self.in_flight) && self.shares.may_start(now, rank);
+        if query.must_start || allowed && self.queue.is_empty() {
+            self.start(now, rank);
             return QueryVerdict::Start;
         }
-        let spent = Duration::from_secs_f64((kind.budget_s - query.budget.as_secs_f64()).max(0.0));
+        self.shares.record_contention(now, rank);
         let duration = Duration::from_secs_f64(kind.duration_s);
         let promptly = query.arrived_at + query.objective.mul_f64(WAIT_OBJECTIVE_SHARE);
         let in_time = query.due_at.checked_sub(duration).unwrap_or(now);
+        let wait_until = promptly.min(in_time);
+        let left = query.budget.saturating_sub(now.saturating_duration_since(query.arrived_at));
         let queued = QueuedQuery {
             id: query.id,
-            priority: query.priority,
-            has_returned: self.returns.is_return(now, spent),
+            rank,
             queued_at: now,
-            wait_until: promptly.min(in_time),
+            wait_until,
+            patience: left.mul_f64(PATIENCE_SHARE),
         };
         let expected_wait = (self.queue.ahead_of(&queued) + 1) as f64 / self.starts_per_s();
-        if now + Duration::from_secs_f64(expected_wait) > queued.wait_until {
-            return QueryVerdict::Refuse(self.refuse(now));
+        if now + Duration::from_secs_f64(expected_wait) > wait_until {
+            return QueryVerdict::Refuse(self.refuse(now, queued.patience));
         }
         self.queue.push(queued);
-        QueryVerdict::Wait(queued.wait_until)
+        QueryVerdict::Wait(wait_until)
+    }
+
+    fn start(&mut self, now: Instant, rank: QueryRank) {
+        self.in_flight += 1;
+        self.shares.record_start(now, rank);
     }
 
     /// Takes the queries out of the queue that start now.
     pub fn start_queued(&mut self, now: Instant) -> Vec<u64> {
         let mut started = Vec::new();
         while self.limit.allows(now, self.in_flight) {
-            let Some(query) = self.queue.pop(now) else { break };
-            self.in_flight += 1;
+            let shares = &self.shares;
+            let Some(query) = self.queue.pop(now, |rank| shares.may_start(now, rank)) else { break };
+            self.start(now, query.rank);
             started.push(query.id);
         }
         started
@@ -138,12 +154,12 @@
 
     /// Removes a query from the queue whose caller no longer waits; returns whether it was there.
     pub fn cancel(&mut self, id: u64) -> bool {
-        self.queue.remove(id)
+        self.queue.remove(id).is_some()
     }
 
     /// Refuses a query that has waited for too long; returns when its caller may return, or `None` if it has started.
     pub fn expire(&mut self, now: Instant, id: u64) -> Option<Duration> {
-        self.queue.remove(id).then(|| self.refuse(now))
+        self.queue.remove(id).map(|query| self.refuse(now, query.patience))
     }
 
     /// Records the end of a query that started; `None` if it was abandoned.
@@ -168,9 +184,9 @@
         (self.limit.limit(), self.in_flight, self.queue.len())
     }
 
-    fn refuse(&mut self, now: Instant) -> Duration {
+    fn refuse(&mut self, now: Instant, patience: Duration) -> Duration {
         let starts_per_s = self.starts_per_s();
-        self.returns.promise(now, starts_per_s)
+        self.returns.promise(now, starts_per_s, patience)
     }
 
     fn starts_per_s(&self) -> f64 {
--- a/crates/policy/src/return_schedule.rs
+++ b/crates/policy/src/return_schedule.rs
@@ -5,14 +5,19 @@
     time::{Duration, Instant},
 };
 
+use crate::ReturnState;
+
 /// The least time until a return; a shorter one cannot be told from the time that a new connection takes.
 const RETURN_AFTER_MIN: Duration = Duration::from_millis(50);
-/// The longest time until a return that is told.
+/// What a caller is told for whom there will be no capacity before it has to give up.
 const RETURN_AFTER_MAX: Duration = Duration::from_secs(10);
-/// The share of the expected starts that is promised to refused callers; the rest is for new ones.
-const PROMISED_SHARE: f64 = 0.5;
+/// The share of the expected starts that is promised to refused callers; the rest is for new ones, whose answers can
+/// still be in time.
+const PROMISED_SHARE: f64 = 0.1;
 /// How much earlier than told a caller may return: its clock and its way to this host differ.
 const EARLY_MAX: Duration = Duration::from_millis(20);
+/// How much later than told it may return.
+const LATE_MAX: Duration = Duration::from_millis(100);
 /// The most promises that are remembered.
 const PROMISES_MAX: usize = 256;
 
@@ -25,9 +30,9 @@
 
 /// The times at which refused callers are told to return: one after the other, as fast as queries are expected to start.
 ///
-/// A constant time would bring all of them back at once, to be refused again. A host does not know its callers, and a
-/// caller returns to another host, whose schedule is similar under the same load; so whether a caller returns as told is
-/// judged by how long ago it was refused.
+/// A constant time would bring all of them back at once, to be refused again. Under a lasting overload most cannot be
+/// promised anything. A caller may return to another host, whose schedule is similar under the same load; so whether it
+/// returns as told is judged by how long ago it was refused.
 #[derive(Clone, Debug, Default)]
 pub struct ReturnSchedule {
     next_return_at: Option<Instant>,
@@ -36,12 +41,16 @@
 }
 
 impl ReturnSchedule {
-    /// Returns after what time a caller that is refused now should return.
-    pub fn promise(&mut self, now: Instant, starts_per_s: f64) -> Duration {
+    /// Returns after what time a caller that is refused now should return, and promises it a start then.
+    ///
+    /// A caller that cannot wait that long, beyond `patience`, is promised nothing.
+    pub fn promise(&mut self, now: Instant, starts_per_s: f64, patience: Duration) -> Duration {
         let spacing = Duration::from_secs_f64(1.0 / (starts_per_s * PROMISED_SHARE).max(0.1));
         let earliest = now + RETURN_AFTER_MIN;
-        let after_others = self.next_return_at.map_or(earliest, |at| at + spacing);
-        let return_at = after_others.clamp(earliest, now + RETURN_AFTER_MAX);
+        let return_at = self.next_return_at.map_or(earliest, |at| (at + spacing).max(earliest));
+        if return_at > now + patience {
+            return RETURN_AFTER_MAX;
+        }
         self.next_return_at = Some(return_at);
         if self.promises.len() == PROMISES_MAX {
             self.promises.pop_front();
@@ -50,19 +59,21 @@
         return_at.saturating_duration_since(now)
     }
 
-    /// Returns whether a caller that spent `spent` of its time budget before this request was refused then and returns as
-    /// told, not earlier.
+    /// Returns whether a caller was refused before, and whether it returns as told. It spent `spent` of its time budget
+    /// before this request.
     #[must_use]
-    pub fn is_return(&self, now: Instant, spent: Duration) -> bool {
+    pub fn return_state(&self, now: Instant, spent: Duration) -> ReturnState {
         if spent + EARLY_MAX < RETURN_AFTER_MIN {
-            return false;
+            return ReturnState::New;
         }
-        let Some(refused_at) = now.checked_sub(spent) else { return false };
-        let after = self.promises.partition_point(|promise| promise.refused_at < refused_at);
-        let nearest = self.promises.get(after).or_else(|| self.promises.back());
-        nearest.is_some_and(|promise| {
-            let told = promise.return_at.saturating_duration_since(promise.refused_at);
-            told <= spent + EARLY_MAX
-        })
+        let refused_at = now.checked_sub(spent).unwrap_or(now);
+        let is_this = |promise: &Promise| {
+            let return_at = promise.return_at;
+            promise.refused_at <= refused_at + EARLY_MAX
+                && refused_at <= promise.refused_at + EARLY_MAX
+                && return_at <= now + EARLY_MAX
+                && now <= return_at + LATE_MAX
+        };
+        if self.promises.iter().any(is_this) { ReturnState::AsTold } else { ReturnState::Unpromised }
     }
 }
