Start queued gathers when a higher rank leaves them the capacity

Cause: only the end of a gather started queued ones, and no gather started past a queue that was not empty.

Change: an arrival and a timer start queued gathers, too; a rank counts as contended only where the limit held it up.

--- a/crates/front/src/admission.rs
+++ b/crates/front/src/admission.rs
@@ -22,6 +22,9 @@
 
 /// How long an index without queries is remembered; its limit is learned anew after that.
 const INDEX_TTL: Duration = Duration::from_secs(60);
+/// How often a query in the queue checks whether it may start although no other ended: a higher rank may no longer need
+/// the capacity.
+const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// The interval between log events about one index that refuses queries.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -197,6 +200,8 @@
         let (tx, rx) = oneshot::channel();
         if matches!(verdict, QueryVerdict::Wait(_)) {
             entry.waiting.push((id, tx));
+            // Queries before it may have waited for a higher rank that no longer needs the capacity.
+            entry.start_queued(began_at);
         }
         (verdict, id, rx)
     };
@@ -241,7 +246,7 @@
 async fn wait(core: &Core, index: u64, mut started: oneshot::Receiver<()>, until: Instant) -> bool {
     loop {
         let paused_until = core.admission().index(now(), index).queries.paused_until();
-        let wake_at = paused_until.map_or(until, |at| at.min(until));
+        let wake_at = paused_until.unwrap_or(until).min(now() + QUEUE_CHECK_INTERVAL).min(until);
         tokio::select! {
             biased;
             is_started = &mut started => return is_started.is_ok(),
--- a/crates/policy/src/admission_queue.rs
+++ b/crates/policy/src/admission_queue.rs
@@ -57,6 +57,12 @@
         Some(self.queries.remove(at))
     }
 
+    /// Returns whether no query in the queue is of the same or a higher rank.
+    #[must_use]
+    pub fn is_first(&self, now: Instant, rank: QueryRank) -> bool {
+        !self.queries.iter().any(|query| query.rank <= rank && now <= query.wait_until)
+    }
+
     /// Returns how many queries in the queue would start before this one.
     #[must_use]
     pub fn ahead_of(&self, query: &QueuedQuery) -> usize {
--- a/crates/policy/src/query_admission.rs
+++ b/crates/policy/src/query_admission.rs
@@ -103,12 +103,15 @@
         let kind = self.arrive(now, &query);
         let spent = Duration::from_secs_f64((kind.budget_s - query.budget.as_secs_f64()).max(0.0));
         let rank = QueryRank { priority: query.priority, returning: self.returns.return_state(now, spent) };
-        let allowed = self.limit.allows(now, self.in_flight) && self.shares.may_start(now, rank);
-        if query.must_start || allowed && self.queue.is_empty() {
+        let has_capacity = self.limit.allows(now, self.in_flight);
+        let is_first = has_capacity && self.queue.is_first(now, rank) && self.shares.may_start(now, rank);
+        if query.must_start || is_first {
             self.start(now, rank);
             return QueryVerdict::Start;
         }
-        self.shares.record_contention(now, rank);
+        if !has_capacity {
+            self.shares.record_contention(now, rank);
+        }
         let duration = Duration::from_secs_f64(kind.duration_s);
         let promptly = query.arrived_at + query.objective.mul_f64(WAIT_OBJECTIVE_SHARE);
         let in_time = query.due_at.checked_sub(duration).unwrap_or(now);
