--- a/crates/policy/src/query_admission.rs
+++ b/crates/policy/src/query_admission.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::{
-    AdmissionQueue, ConcurrencyLimit, QueryRank, QueuedQuery, ReturnSchedule, start_shares::StartShares,
+    AdmissionQueue, ConcurrencyLimit, QueryRank, QueuedQuery, ReturnPromises, start_shares::StartShares,
 };
 
 /// The queueing delay at the targets that is allowed, as a share of the tightest latency objective on the index.
@@ -88,7 +88,7 @@
     limit: ConcurrencyLimit,
     queue: AdmissionQueue,
     shares: StartShares,
-    returns: ReturnSchedule,
+    returns: ReturnPromises,
     in_flight: usize,
     /// Sorted by priority and objective.
     kinds: Vec<QueryKind>,
--- a/crates/policy/src/return_schedule.rs
+++ b/crates/policy/src/return_promises.rs
@@ -34,13 +34,13 @@
 /// promised anything. A caller may return to another host, whose schedule is similar under the same load; so whether it
 /// returns as told is judged by how long ago it was refused.
 #[derive(Clone, Debug, Default)]
-pub struct ReturnSchedule {
+pub struct ReturnPromises {
     next_return_at: Option<Instant>,
     /// Sorted by the time of the refusal.
     promises: VecDeque<Promise>,
 }
 
-impl ReturnSchedule {
+impl ReturnPromises {
     /// Returns after what time a caller that is refused now should return, and promises it a start then.
     ///
     /// A caller that cannot wait that long, beyond `patience`, is promised nothing.
