Estimate request costs and target backlogs

Requests that look alike cost targets very different amounts of work, but the load estimate counts requests. Adds the expected service time of a request (RequestCosts), the pending work of a target in time (TargetBacklog), and the rule by which a single request is refused.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -41,6 +41,7 @@
 //!   targets.
 //! - [`RequestLimit`], [`LimitShare`]: the limit on requests that a target states for all hosts.
 //! - [`WarmUpLimits`], [`warm_up_owner`]: the limit on requests to a replica that warms up.
+//! - [`RequestCosts`], [`TargetBacklog`], [`refusal`]: the cost of single requests and where they go.
 //! - [`LeadTimeEstimator`]: how long before its latency objective an answer must be made.
 //!
 //! docs/DESIGN.md explains the trade-offs of each.
@@ -57,17 +58,20 @@
 mod latency;
 mod lead_time;
 mod pause;
+mod placement;
 mod queue;
 mod relay_health;
 mod remote_shard_groups;
 mod replica;
 mod replica_choice;
+mod request_cost;
 mod request_limit;
 mod retry_budget;
 mod shard_choice;
 mod snapshot;
 mod store_readers;
 mod suspects;
+mod target_backlog;
 mod target_load;
 mod target_reach;
 mod ticket;
@@ -88,15 +92,18 @@
 pub use latency::LatencyWindow;
 pub use lead_time::{AnswerDelivery, LeadTimeEstimator};
 pub use pause::PauseDetector;
+pub use placement::{PlacementRequest, PlacementTarget, refusal};
 pub use relay_health::RelayHealth;
 pub use remote_shard_groups::{RemoteShardGroup, group_remote_shards};
 pub use replica::{HealthReport, LIVENESS_TTL, ReplicaPhase, SnapshotPlacement};
+pub use request_cost::{RequestCosts, RequestShape};
 pub use request_limit::{LimitShare, RequestLimit};
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use shard_choice::{ShardChoice, ShardEstimate, choose_shards, max_expected_latency};
 pub use snapshot::{ServiceSnapshots, choose_snapshot};
 pub use store_readers::{store_reader_count, store_readers, store_retry_backoff};
 pub use suspects::{MARK_TTL, POISON_BREAK_COUNT, SHARED_SUSPECT_TTL, Suspects};
+pub use target_backlog::{LoadReport, PooledLoad, TargetBacklog};
 pub use target_load::{ExchangeEnd, TargetLoad};
 pub use target_reach::{ReachChange, TargetReach};
 pub use ticket::{Ticket, TicketError};
--- a/crates/policy/src/target_load.rs
+++ b/crates/policy/src/target_load.rs
@@ -232,7 +232,9 @@
         self.slowness_with_prior(now, prior) * self.queue_factor(now) * self.slow_start_factor(now)
     }
 
-    fn slow_start_factor(&self, now: Instant) -> f64 {
+    /// Returns the factor by which the cost is greater soon after a backoff.
+    #[must_use]
+    pub fn slow_start_factor(&self, now: Instant) -> f64 {
         let Some(backoff_end) = self.backoff_until else { return 1.0 };
         let since_backoff = now.saturating_duration_since(backoff_end).min(SLOW_START_TIME);
         1.0 + SLOW_START_COST * (1.0 - since_backoff.div_duration_f64(SLOW_START_TIME))
