Place single requests by expected completion

The target for a single request was chosen by the number of its requests, and one in another data centre counted double. A request that all targets shed was held for half of the time until its deadline.

The target with the earliest expected completion is picked now, from own exchanges by their cost, the targets' reports and their mean. A request that no target is expected to complete in time is refused at once with the time until one can, or sent late where it delays no other; one that targets shed is offered again for a quarter of the objective.

--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -151,6 +151,7 @@
         limits,
         may_retry: route.idempotent,
         typical_latency,
+        work: core.request_work(route, req, typical_latency),
         is_repeat: false,
         may_use_remote_gatherers: false,
     }
@@ -184,7 +185,12 @@
         return reply::relayed(answer, &core.options.headers);
     }
     let detail = format!("route {} failed after {} ms: {}", route.name, elapsed_ms(req), result.summary());
-    req.log(Code::RequestFailed, &detail);
+    let is_refused = !result.may_have_run && !result.overload_detail.is_empty();
+    if is_refused {
+        req.log(Code::RequestRefused, &format!("{}; {detail}", result.overload_detail));
+    } else {
+        req.log(Code::RequestFailed, &detail);
+    }
     if let Some(answer) = result.failure.take() {
         return reply::relayed(answer, &core.options.headers);
     }
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -3,6 +3,7 @@
 mod answer_timing;
 mod extra_attempts;
 mod reach;
+mod request_cost;
 
 use std::{
     net::SocketAddr,
@@ -15,7 +16,9 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use egret_events::{Code, log_event};
-use egret_policy::{CallerBudgets, LeadTimeEstimator, LimitShare, RetryBudget, Suspects, TargetReach};
+use egret_policy::{
+    CallerBudgets, LeadTimeEstimator, LimitShare, RequestCosts, RetryBudget, Suspects, TargetReach,
+};
 use egret_routes::{Evacuations, Registry, Replica, ReplicaRun, Route, RouteTable};
 use tokio::sync::{Notify, watch};
 
@@ -91,6 +94,8 @@
     lead_time: Mutex<LeadTimeEstimator>,
     /// The time budgets that callers state, by route.
     stated_budgets: Mutex<Vec<NamedEntry<CallerBudgets>>>,
+    /// The costs of requests that need one target.
+    request_costs: Mutex<RequestCosts>,
     pub(crate) answer_memory: AnswerMemory,
     /// Runs of targets that announced that they shut down, until the control thread takes them.
     leaving: Mutex<Vec<ReplicaRun>>,
@@ -125,6 +130,7 @@
             budgets: Mutex::default(),
             latencies: Mutex::default(),
             stated_budgets: Mutex::default(),
+            request_costs: Mutex::default(),
             leaving: Mutex::default(),
             has_leaving: Notify::new(),
             reach: Mutex::default(),
--- /dev/null
+++ b/crates/front/src/core/request_cost.rs
@@ -0,0 +1,56 @@
+//! The expected cost of requests that need one target.
+
+use std::time::Duration;
+
+use egret_policy::RequestShape;
+use egret_routes::{Backend, Route};
+
+use super::{Core, get_or_insert, lock};
+use crate::{Mechanism, caller_request::CallerRequest, clock::now, request_work::RequestWork};
+
+/// The least weight of a sample of which the queueing delay was a large share.
+const SAMPLE_WEIGHT_MIN: f64 = 0.1;
+
+impl Core {
+    /// Returns what a request that needs one target is expected to cost it; `None` for gathers.
+    ///
+    /// `typical` is the typical latency of its route.
+    pub(crate) fn request_work(
+        &self,
+        route: &Route,
+        req: &CallerRequest,
+        typical: Duration,
+    ) -> Option<RequestWork> {
+        if matches!(route.backend, Backend::Gather(_)) || !self.is_enabled(Mechanism::CostAwarePlacement) {
+            return None;
+        }
+        let objective = Duration::from_millis(route.latency_objective_ms);
+        let spent = get_or_insert(&mut lock(&self.stated_budgets), &route.name, Default::default)
+            .elapsed(req.deadline);
+        let costs = lock(&self.request_costs);
+        Some(RequestWork {
+            cost: costs.expected(now(), shape(route, req), typical),
+            mean_cost: costs.mean(now(), &route.name, typical),
+            objective,
+            is_late: spent.is_some_and(|spent| spent >= objective),
+        })
+    }
+
+    /// Learns the cost of a request from its latency and from how long it was expected to wait for a slot.
+    pub(crate) fn record_request_cost(
+        &self,
+        route: &Route,
+        req: &CallerRequest,
+        latency: Duration,
+        wait: Duration,
+    ) {
+        let queueing_share = if latency.is_zero() { 1.0 } else { wait.div_duration_f64(latency) };
+        let weight = (1.0 - queueing_share).max(SAMPLE_WEIGHT_MIN);
+        let service_time = latency.saturating_sub(wait);
+        lock(&self.request_costs).record(now(), shape(route, req), service_time, weight);
+    }
+}
+
+fn shape<'a>(route: &'a Route, req: &'a CallerRequest) -> RequestShape<'a> {
+    RequestShape { route: &route.name, body_bytes: req.body.len(), path: req.path() }
+}
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use egret_events::{Code, log_event};
-use egret_policy::ExchangeEnd;
+use egret_policy::{ExchangeEnd, LoadReport};
 use egret_routes::TopRecords;
 use http_body_util::{BodyExt, Full};
 use hyper::{
@@ -22,6 +22,7 @@
     clock::now,
     connection::{Connection, HEAD_BYTES_MAX},
     core::Core,
+    request_work::RequestWork,
     retry_after::retry_after,
     target::{InFlightGuard, Target},
     target_answer::{ExchangeResult, LossCause, TargetAnswer},
@@ -47,6 +48,8 @@
     pub(crate) end_at: Instant,
     /// The typical latency of such a request.
     pub(crate) typical_latency: Duration,
+    /// The work of a request that needs one target, with the time that it is expected to wait for a slot.
+    pub(crate) work: Option<(RequestWork, Duration)>,
     /// Whether to use a new connection only, as an earlier answer may still arrive on a reused one.
     pub(crate) new_connection_only: bool,
     /// How many records of the answer are kept, if it is a part of a gather.
@@ -63,7 +66,8 @@
     options: ExchangeOptions,
 ) -> ExchangeResult {
     let _exchange = ExchangeGuard::begin(&core, options.typical_latency);
-    let mut running = InFlightGuard::begin(Arc::clone(&target), now(), options.typical_latency);
+    let mut running =
+        InFlightGuard::begin(Arc::clone(&target), now(), options.typical_latency).with_work(options.work);
     let result = send(&core, &target, &req, options).await;
     let end = match &result {
         // The target was not tried: it takes no requests now.
@@ -320,7 +324,13 @@
     if let (Some(Ok(running)), Some(Ok(waiting))) = (numbers.next(), numbers.next())
         && core.is_enabled(Mechanism::LoadReports)
     {
-        target.state().load.report(now(), running.saturating_add(waiting), typical_latency);
+        let pending = running.saturating_add(waiting);
+        let slots = numbers.next().and_then(Result::ok);
+        let percent = numbers.next().and_then(Result::ok).filter(|percent| *percent > 0);
+        let slowness = percent.map(|percent| f64::from(percent) / 100.0);
+        let mut state = target.state();
+        state.load.report(now(), pending, typical_latency);
+        state.backlog.report(now(), LoadReport { pending, slots, slowness });
     }
 }
 
--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -1,6 +1,7 @@
 //! The fan-out of a request to one replica of each service that it needs.
 
 mod attempts;
+mod placement;
 mod remote_gatherers;
 mod skipped;
 
@@ -21,7 +22,7 @@
 };
 use crate::{
     Mechanism, caller_request::CallerRequest, clock::now, core::Core, fan_out_options::FanOutOptions,
-    fan_out_result::FanOutResult, parts_sender::PartsSender,
+    fan_out_result::FanOutResult, parts_sender::PartsSender, request_work::RequestWork,
 };
 
 /// How often skipped services are checked for a target that can take the request now.
@@ -62,6 +63,9 @@
     /// Attempts that reached a target or may have, by service.
     delivered: Vec<usize>,
     result: FanOutResult,
+    /// The work of the request, if it is placed by its cost: it needs one target, and the targets report
+    /// their load.
+    placed_work: Option<RequestWork>,
     /// Whether this host lost all targets since the fan-out began, so that no attempt will be answered.
     has_lost_targets: bool,
 }
@@ -102,6 +106,7 @@
             may_have_run: options.is_repeat,
             ..FanOutResult::new(services.len())
         },
+        placed_work: options.work.filter(|_| core.targets.load().has_load_reports(&services[0])),
         has_lost_targets: false,
     };
     if let Err(retry_after) = fan_out.skip_overloaded() {
@@ -208,6 +213,7 @@
         // A target may be running an attempt that has not ended.
         self.result.may_have_run |= is_running;
         self.result.skipped = self.skipped.len();
+        self.set_return_time();
         let is_not_asked = |shard: &usize| self.delivered[*shard] == 0;
         self.result.not_asked = (0..self.services.len()).filter(is_not_asked).collect();
         self.result
--- a/crates/front/src/fan_out/attempts.rs
+++ b/crates/front/src/fan_out/attempts.rs
@@ -25,6 +25,8 @@
 pub(super) struct AttemptEnd {
     pub(super) shard: usize,
     pub(super) latency: Duration,
+    /// How long it was expected to wait for a slot.
+    pub(super) wait: Duration,
     pub(super) result: ExchangeResult,
 }
 
@@ -34,7 +36,8 @@
     /// Returns `None` where no untried target can take it, or the budget does not allow it.
     pub(super) fn next_attempt(&mut self, shard: usize) -> Option<NextAttempt> {
         let service = &self.services[shard];
-        let target = self.core.targets.load().pick(now(), &[service], &self.tried[shard], PickFilter::Any);
+        let filter = self.placed_work.map_or(PickFilter::Any, PickFilter::EarliestCompletion);
+        let target = self.core.targets.load().pick(now(), &[service], &self.tried[shard], filter);
         let Some(target) = target else {
             self.result.without_target += u32::from(self.delivered[shard] == 0);
             let backoff_left = self.core.targets.load().backoff_left(now(), service);
@@ -43,6 +46,10 @@
             self.progress.abandon_shard(shard);
             return None;
         };
+        if let Some(retry_after) = self.refusal(shard, &target) {
+            self.refuse_placement(shard, retry_after);
+            return None;
+        }
         if self.delivered[shard] == 0 && !self.options.is_repeat {
             self.core.credit_extra_attempt_budget(now(), service, self.is_gather);
         } else if !self.core.try_spend_extra_attempt_budget(now(), service, self.is_gather) {
@@ -66,7 +73,9 @@
         // still makes it less late: a cost of one typical latency is always affordable.
         let affordable =
             left.max(self.options.typical_latency).div_duration_f64(self.options.typical_latency);
-        let filter = PickFilter::MaxCost(affordable);
+        let filter = self
+            .placed_work
+            .map_or(PickFilter::MaxCost(affordable), |work| PickFilter::FreeSlot(work, left.max(work.cost)));
         let target = self.core.targets.load().pick(now_at, &[service], &self.tried[shard], filter);
         let Some(target) = target else {
             self.result.hedges_without_target += 1;
@@ -93,9 +102,11 @@
     pub(super) fn run_attempt(&self, next: NextAttempt) -> impl Future<Output = FanOutEvent> + Send + use<> {
         let NextAttempt { shard, target } = next;
         let sent_at = now();
+        let wait = self.expected_wait(shard, &target);
         let options = ExchangeOptions {
             end_at: self.options.limits.deadline,
-            typical_latency: self.options.typical_latency,
+            typical_latency: self.options.work.map_or(self.options.typical_latency, |work| work.cost),
+            work: self.options.work.map(|work| (work, wait)),
             // The answer to an earlier request may still arrive on a reused connection. It must
             // not reach a request that cannot be retried, nor one that met such an answer before.
             new_connection_only: !self.options.may_retry || self.result.last_loss == Some(LossCause::Foreign),
@@ -105,7 +116,7 @@
         async move {
             let result = run.await;
             let latency = now().saturating_duration_since(sent_at);
-            FanOutEvent::Attempt(AttemptEnd { shard, latency, result })
+            FanOutEvent::Attempt(AttemptEnd { shard, latency, wait, result })
         }
     }
 
@@ -116,6 +127,9 @@
             ExchangeResult::Success(answer) => {
                 self.core.with_latency(self.route, |latency| latency.add(attempt.latency));
                 self.core.instruments.part(attempt.latency);
+                if self.options.work.is_some() {
+                    self.core.record_request_cost(self.route, self.req, attempt.latency, attempt.wait);
+                }
                 self.progress.record_part(shard);
                 self.result.may_have_run = true;
                 if self.result.remote_receipts[shard].is_none() {
--- /dev/null
+++ b/crates/front/src/fan_out/placement.rs
@@ -0,0 +1,97 @@
+//! Placement of a request that needs one target: whether it is sent to the target that was picked.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use egret_policy::{PlacementRequest, refusal};
+
+use super::FanOut;
+use crate::{Mechanism, clock::now, request_work::RequestWork, target::Target, target_set::PickFilter};
+
+/// The share of the latency objective during which a request that targets refused for lack of room is
+/// offered to them again; a refusal of the caller counts as prompt until then.
+const PROMPT_SHARE: f64 = 0.25;
+
+impl FanOut<'_> {
+    /// Returns after what time the caller may return if the request is not to be sent to `target`, the best
+    /// one. A request that may have run is always sent, as its caller cannot be told that it did not.
+    pub(super) fn refusal(&self, shard: usize, target: &Target) -> Option<Duration> {
+        let work = self.placed_work?;
+        if self.result.may_have_run || !self.core.is_enabled(Mechanism::EarlyRefusal) {
+            return None;
+        }
+        self.expected_refusal(now(), shard, target, work)
+    }
+
+    fn expected_refusal(
+        &self,
+        now: Instant,
+        shard: usize,
+        target: &Target,
+        work: RequestWork,
+    ) -> Option<Duration> {
+        let pool = self.core.targets.load().pooled_load(now, &self.services[shard]);
+        let placement = target.placement(now, &work, pool);
+        if !pool.is_known() && placement.full_left.is_zero() {
+            return None;
+        }
+        let limits = &self.options.limits;
+        let until_objective = limits.objective_at.saturating_duration_since(now);
+        let request = PlacementRequest {
+            mean_cost: work.mean_cost,
+            objective: work.objective,
+            until_objective: if work.is_late { Duration::ZERO } else { until_objective },
+            until_deadline: limits.deadline.saturating_duration_since(now),
+        };
+        refusal(request, placement)
+    }
+
+    /// Records that the request is not sent now. One that a target refused may be offered again shortly.
+    pub(super) fn refuse_placement(&mut self, shard: usize, retry_after: Duration) {
+        self.result.backoff_left = self.result.backoff_left.max(Some(retry_after));
+        self.result.overload_detail =
+            format!("no target is expected to complete it in time; time given: {retry_after:?}");
+        self.progress.abandon_shard(shard);
+        if self.delivered[shard] > 0 {
+            self.skipped.push(shard);
+        }
+    }
+
+    /// Returns whether a target can be sent the request now.
+    pub(super) fn has_placement(&self, shard: usize) -> bool {
+        let Some(work) = self.placed_work else { return false };
+        let filter = PickFilter::EarliestCompletion(work);
+        let target =
+            self.core.targets.load().pick(now(), &[&self.services[shard]], &self.tried[shard], filter);
+        target.is_some_and(|target| self.refusal(shard, &target).is_none())
+    }
+
+    /// Returns until when a request that is placed by its cost is offered again after targets refused it.
+    pub(super) fn shed_retries_end(&self) -> Option<Instant> {
+        self.placed_work.map(|work| self.req.arrived_at + work.objective.mul_f64(PROMPT_SHARE))
+    }
+
+    /// Returns how long a request is expected to wait for a slot of a target.
+    pub(super) fn expected_wait(&self, shard: usize, target: &Arc<Target>) -> Duration {
+        let Some(work) = self.options.work else { return Duration::ZERO };
+        let now = now();
+        let pool = self.core.targets.load().pooled_load(now, &self.services[shard]);
+        target.placement(now, &work, pool).wait
+    }
+
+    /// Sets the time after which the caller may return, where all targets refused the request.
+    pub(super) fn set_return_time(&mut self) {
+        if let Some(work) = self.placed_work
+            && self.result.backoff_left.is_none()
+            && !self.result.may_have_run
+            && self.progress.received_parts() == 0
+        {
+            let filter = PickFilter::EarliestCompletion(work);
+            let target = self.core.targets.load().pick(now(), &[&self.services[0]], &[], filter);
+            self.result.backoff_left =
+                target.and_then(|target| self.expected_refusal(now(), 0, &target, work));
+        }
+    }
+}
--- a/crates/front/src/fan_out/skipped.rs
+++ b/crates/front/src/fan_out/skipped.rs
@@ -118,6 +118,9 @@
         let until_objective = self.options.limits.objective_at.saturating_duration_since(now);
         let targets = self.core.targets.load_full();
         let can_readmit = |shard: &usize| {
+            if self.placed_work.is_some() {
+                return self.has_placement(*shard);
+            }
             let estimate = targets.estimate(now, &self.services[*shard], self.options.typical_latency);
             if !estimate.backoff_left.is_zero() {
                 return false;
@@ -148,7 +151,9 @@
     pub(super) fn can_still_be_enough(&self) -> bool {
         let lacking = self.options.limits.min_shards.saturating_sub(self.progress.obtainable_parts());
         let GatherLimits { objective_at, deadline, .. } = self.options.limits;
-        let until = objective_at + deadline.saturating_duration_since(objective_at) / 2;
+        let until = self
+            .shed_retries_end()
+            .unwrap_or_else(|| objective_at + deadline.saturating_duration_since(objective_at) / 2);
         let now = now();
         let targets = self.core.targets.load();
         let is_out_of_backoff =
--- a/crates/front/src/fan_out_options.rs
+++ b/crates/front/src/fan_out_options.rs
@@ -4,6 +4,8 @@
 
 use egret_policy::GatherLimits;
 
+use crate::request_work::RequestWork;
+
 /// The limits and permissions of a fan-out.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct FanOutOptions {
@@ -12,6 +14,8 @@
     pub(crate) may_retry: bool,
     /// The route's typical latency of an exchange with a target.
     pub(crate) typical_latency: Duration,
+    /// The work of a request that needs one target; `None` for gathers.
+    pub(crate) work: Option<RequestWork>,
     /// Whether another host may have sent the request to targets already, so that first attempts
     /// spend retry budget, too.
     pub(crate) is_repeat: bool,
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -57,6 +57,7 @@
 mod parts_sender;
 mod ready;
 mod reply;
+mod request_work;
 mod retry_after;
 mod route_latency;
 mod store;
--- a/crates/front/src/mechanism.rs
+++ b/crates/front/src/mechanism.rs
@@ -54,6 +54,9 @@
     LatencyWeighting = "slowness";
     /// The load that targets report in their responses is taken into account.
     LoadReports = "load-reports";
+    /// A request for one target goes to the one that is expected to complete it first, by the expected
+    /// cost of the request and the targets' backlogs, or is refused where none can complete it in time.
+    CostAwarePlacement = "cost-aware-placement";
     /// Changes are pushed to some hosts at once, besides the periodic gossip.
     GossipPush = "push";
 }
--- a/crates/front/src/target.rs
+++ b/crates/front/src/target.rs
@@ -9,11 +9,20 @@
     time::{Duration, Instant},
 };
 
-use egret_policy::{ExchangeEnd, LimitShare, RequestLimit, TargetLoad};
+use egret_policy::{
+    ExchangeEnd, LimitShare, PlacementTarget, PooledLoad, RequestLimit, TargetBacklog, TargetLoad,
+};
 use egret_routes::Replica;
 use tokio::sync::Notify;
 
-use crate::{clock::now, connection::Connection, target_set::TargetOptions, target_warm_up::TargetWarmUp};
+use crate::{
+    clock::now, connection::Connection, request_work::RequestWork, target_set::TargetOptions,
+    target_warm_up::TargetWarmUp,
+};
+
+/// What sending a request of a few kilobytes to another data centre adds to its completion: a round trip
+/// between data centres and the transfer. Queueing for a slot takes far longer.
+const REMOTE_DELAY: Duration = Duration::from_millis(3);
 
 /// One run of one replica, as this host sees it. A restarted replica is a new target.
 #[derive(Debug)]
@@ -36,6 +45,8 @@
 #[derive(Debug)]
 pub(crate) struct TargetState {
     pub(crate) load: TargetLoad,
+    /// The work that is pending at the target, where its requests need one target each.
+    pub(crate) backlog: TargetBacklog,
     pub(crate) warm_up: TargetWarmUp,
     /// The limit on requests that the target states, if any.
     limit: Option<RequestLimit>,
@@ -48,10 +59,17 @@
     pub(crate) fn new(now: Instant, replica: Replica, options: TargetOptions<'_>) -> Self {
         let is_local = *replica.data_centre == *options.data_centre;
         let load = TargetLoad::new(replica.slots);
+        let backlog = TargetBacklog::new(replica.slots);
         let warm_up = TargetWarmUp::new(now, &replica);
         let idle_connections = Vec::new();
-        let state =
-            Mutex::new(TargetState { load, warm_up, limit: None, idle_connections, open_connections: 0 });
+        let state = Mutex::new(TargetState {
+            load,
+            backlog,
+            warm_up,
+            limit: None,
+            idle_connections,
+            open_connections: 0,
+        });
         Self {
             replica,
             is_local,
@@ -178,6 +196,21 @@
         state.load.cost_with_prior(now, slowness) * state.warm_up.cost_factor(now)
     }
 
+    /// Returns what a request may expect of this target, given the mean load of its service's targets.
+    pub(crate) fn placement(&self, now: Instant, work: &RequestWork, pool: PooledLoad) -> PlacementTarget {
+        let state = self.state();
+        let slowness = state.backlog.slowness(now, state.load.slowness(now)) * state.warm_up.cost_factor(now);
+        let wait = state.backlog.expected_wait(now, work.mean_cost, pool).mul_f64(slowness);
+        let service = work.cost.mul_f64(slowness * state.load.slow_start_factor(now));
+        let distance = if self.is_local { Duration::ZERO } else { REMOTE_DELAY };
+        PlacementTarget {
+            wait,
+            completion: wait + service + distance,
+            has_free_slot: state.backlog.has_free_slot(now, work.mean_cost, pool),
+            full_left: state.backlog.full_left(now),
+        }
+    }
+
     /// Returns the estimated ratio of the target's latency to the typical one, without its queue.
     pub(crate) fn slowness(&self, now: Instant) -> f64 {
         self.state().load.slowness(now)
@@ -206,13 +239,24 @@
 pub(crate) struct InFlightGuard {
     pub(crate) target: Arc<Target>,
     began: Instant,
+    /// The mean cost of the route's requests, if the exchange is counted in the target's backlog.
+    mean_cost: Option<Duration>,
     has_ended: bool,
 }
 
 impl InFlightGuard {
     pub(crate) fn begin(target: Arc<Target>, now: Instant, typical_latency: Duration) -> Self {
         target.state().load.begin(now, typical_latency);
-        Self { target, began: now, has_ended: false }
+        Self { target, began: now, mean_cost: None, has_ended: false }
+    }
+
+    /// Counts the work of the exchange in the target's backlog, with the time that it waits for a slot.
+    pub(crate) fn with_work(mut self, work: Option<(RequestWork, Duration)>) -> Self {
+        if let Some((work, wait)) = work {
+            self.target.state().backlog.begin(self.began, work.cost, wait);
+            self.mean_cost = Some(work.mean_cost);
+        }
+        self
     }
 
     /// Records the end of the exchange; only the first call counts.
@@ -220,7 +264,14 @@
         if !self.has_ended {
             self.has_ended = true;
             let end = if self.target.weigh_latency { end } else { end.without_latency() };
-            self.target.state().load.end(now, self.began, end);
+            let mut state = self.target.state();
+            state.load.end(now, self.began, end);
+            if let Some(mean_cost) = self.mean_cost {
+                state.backlog.end(self.began);
+                if end == ExchangeEnd::Shed {
+                    state.backlog.shed(now, mean_cost);
+                }
+            }
         }
     }
 }
--- a/crates/front/src/target_set.rs
+++ b/crates/front/src/target_set.rs
@@ -6,10 +6,10 @@
     time::{Duration, Instant},
 };
 
-use egret_policy::{LimitShare, ShardEstimate, WarmUpLimits, warm_up_owner};
+use egret_policy::{LimitShare, PlacementTarget, PooledLoad, ShardEstimate, WarmUpLimits, warm_up_owner};
 use egret_routes::{Replica, RouteTable, WarmUp};
 
-use crate::target::Target;
+use crate::{request_work::RequestWork, target::Target};
 
 /// How many times a remote target's cost counts: one in another data centre is picked only if it is
 /// that much cheaper, as traffic between data centres costs bandwidth.
@@ -38,6 +38,40 @@
     NotEjected,
     /// Those that are not ejected and cost no more than this, in typical latencies.
     MaxCost(f64),
+    /// Any; the one that is expected to complete a request first is picked.
+    EarliestCompletion(RequestWork),
+    /// Those that seem to have a free slot and to complete a request within a time; the earliest is picked.
+    FreeSlot(RequestWork, Duration),
+}
+
+impl PickFilter {
+    fn work(&self) -> Option<&RequestWork> {
+        match self {
+            Self::EarliestCompletion(work) | Self::FreeSlot(work, _) => Some(work),
+            Self::Any | Self::NotEjected | Self::MaxCost(_) => None,
+        }
+    }
+
+    /// Returns whether a target passes that is ejected or not; `placement` is set for a request's work.
+    fn admits(
+        &self,
+        now: Instant,
+        is_ejected: bool,
+        target: &Target,
+        placement: Option<PlacementTarget>,
+    ) -> bool {
+        match self {
+            Self::Any | Self::EarliestCompletion(_) => true,
+            Self::NotEjected => !is_ejected,
+            Self::MaxCost(cost) => !is_ejected && target.cost(now) <= *cost,
+            Self::FreeSlot(_, within) => {
+                !is_ejected
+                    && placement.is_some_and(|at| {
+                        at.has_free_slot && at.full_left.is_zero() && at.completion <= *within
+                    })
+            }
+        }
+    }
 }
 
 /// What targets need to know of the host that uses them.
@@ -277,6 +311,18 @@
         }
     }
 
+    /// Returns whether a target of a service reported its load.
+    pub(crate) fn has_load_reports(&self, service: &str) -> bool {
+        self.targets_of(service).iter().any(|target| target.state().backlog.has_report())
+    }
+
+    /// Returns the mean load of a service's targets, by their latest reports.
+    pub(crate) fn pooled_load(&self, now: Instant, service: &str) -> PooledLoad {
+        let mut pool = PooledLoad::default();
+        self.targets_of(service).iter().for_each(|target| pool.add(now, &target.state().backlog));
+        pool
+    }
+
     /// Returns the cheapest target of some services that was not tried yet and passes the filter.
     ///
     /// A target without samples is assumed to be as fast as the fastest known one, so that it gets
@@ -292,19 +338,27 @@
         let untried =
             all.filter(|target| target.accepts_requests(now) && !tried.contains(&target.replica.id));
         let lowest_slowness = untried.clone().map(|target| target.slowness(now)).fold(1.0, f64::min);
+        let pool = filter.work().zip(services.first()).map(|(_, service)| self.pooled_load(now, service));
         let rank = |target: &Arc<Target>| {
+            if let Some((work, pool)) = filter.work().zip(pool) {
+                let placement = target.placement(now, work, pool);
+                let jitter = 1.0 + COST_JITTER * fastrand::f64();
+                let is_full = !placement.full_left.is_zero();
+                let secs = placement.completion.as_secs_f64() * jitter;
+                return (target.is_ejected(now) || is_full, secs, Some(placement));
+            }
             let distance = if target.is_local { 1.0 } else { REMOTE_COST_FACTOR };
             let jitter = 1.0 + COST_JITTER * fastrand::f64();
-            (target.is_ejected(now), target.cost_with_prior(now, lowest_slowness) * distance * jitter)
+            (target.is_ejected(now), target.cost_with_prior(now, lowest_slowness) * distance * jitter, None)
         };
         untried
             .map(|target| (rank(target), target))
-            .filter(|((is_ejected, _), target)| match filter {
-                PickFilter::Any => true,
-                PickFilter::NotEjected => !is_ejected,
-                PickFilter::MaxCost(cost) => !is_ejected && target.cost(now) <= cost,
+            .filter(|((is_ejected, _, placement), target)| {
+                filter.admits(now, *is_ejected, target, *placement)
+            })
+            .min_by(|((a_ejected, a, _), _), ((b_ejected, b, _), _)| {
+                a_ejected.cmp(b_ejected).then(a.total_cmp(b))
             })
-            .min_by(|((a_ejected, a), _), ((b_ejected, b), _)| a_ejected.cmp(b_ejected).then(a.total_cmp(b)))
             .map(|(_, target)| Arc::clone(target))
     }
 }
