--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -84,7 +84,9 @@
     // never ends early: the receiver decides whether it has enough.
     let is_early = parts_sender.is_none() && core.is_enabled(Mechanism::EarlyAnswers);
     let objective_at = if is_early { options.limits.objective_at } else { options.limits.deadline };
-    let limits = GatherLimits { objective_at, ..options.limits };
+    let placed_work = options.work.filter(|_| core.targets.load().has_load_reports(&services[0]));
+    let hedge_delay = placement::hedge_delay(options.limits.hedge_delay, placed_work);
+    let limits = GatherLimits { objective_at, hedge_delay, ..options.limits };
     let top_k = match &route.backend {
         Backend::Gather(plan) => Some(plan.top_k),
         Backend::One(_) | Backend::Split(_) => None,
@@ -106,7 +108,7 @@
             may_have_run: options.is_repeat,
             ..FanOutResult::new(services.len())
         },
-        placed_work: options.work.filter(|_| core.targets.load().has_load_reports(&services[0])),
+        placed_work,
         has_lost_targets: false,
     };
     if let Err(retry_after) = fan_out.skip_overloaded() {
--- a/crates/front/src/fan_out/attempts.rs
+++ b/crates/front/src/fan_out/attempts.rs
@@ -50,6 +50,9 @@
             self.refuse_placement(shard, retry_after);
             return None;
         }
+        if self.placed_work.is_some() {
+            self.core.instruments.placement("sent");
+        }
         if self.delivered[shard] == 0 && !self.options.is_repeat {
             self.core.credit_extra_attempt_budget(now(), service, self.is_gather);
         } else if !self.core.try_spend_extra_attempt_budget(now(), service, self.is_gather) {
--- a/crates/front/src/fan_out/placement.rs
+++ b/crates/front/src/fan_out/placement.rs
@@ -10,10 +10,19 @@
 use super::FanOut;
 use crate::{Mechanism, clock::now, request_work::RequestWork, target::Target, target_set::PickFilter};
 
+/// A request is hedged after this multiple of its expected cost at the earliest: a long request that takes as
+/// long as expected gains nothing from a second one.
+const HEDGE_COST_FACTOR: f64 = 1.5;
 /// The share of the latency objective during which a request that targets refused for lack of room is
 /// offered to them again; a refusal of the caller counts as prompt until then.
 const PROMPT_SHARE: f64 = 0.25;
 
+/// Returns the hedge delay of a request that is placed by its cost.
+pub(super) fn hedge_delay(delay: Option<Duration>, work: Option<RequestWork>) -> Option<Duration> {
+    let least = work.map_or(Duration::ZERO, |work| work.cost.mul_f64(HEDGE_COST_FACTOR));
+    delay.map(|delay| delay.max(least))
+}
+
 impl FanOut<'_> {
     /// Returns after what time the caller may return if the request is not to be sent to `target`, the best
     /// one. A request that may have run is always sent, as its caller cannot be told that it did not.
@@ -50,6 +59,7 @@
 
     /// Records that the request is not sent now. One that a target refused may be offered again shortly.
     pub(super) fn refuse_placement(&mut self, shard: usize, retry_after: Duration) {
+        self.core.instruments.placement("refused");
         self.result.backoff_left = self.result.backoff_left.max(Some(retry_after));
         self.result.overload_detail =
             format!("no target is expected to complete it in time; time given: {retry_after:?}");
--- a/crates/front/src/instruments.rs
+++ b/crates/front/src/instruments.rs
@@ -19,6 +19,7 @@
     connections: Counter<u64>,
     gathers: Counter<u64>,
     forwards: Counter<u64>,
+    placements: Counter<u64>,
     store_calls: Counter<u64>,
     gossip_exchanges: Counter<u64>,
 }
@@ -41,6 +42,10 @@
             gathers: metrics.counter("gathers", "Gathers by who asked the targets."),
             forwards: metrics
                 .counter("forwards", "Requests for one target sent to other hosts, by their end."),
+            placements: metrics.counter(
+                "placements",
+                "Requests for one target by whether one was expected to complete them.",
+            ),
             store_calls: metrics.counter("store_calls", "Calls to the platform's store by their end."),
             gossip_exchanges: metrics.counter("news", "Messages to other hosts by their end."),
             metrics,
@@ -81,6 +86,10 @@
         self.forwards.add(1, &[label("end", end)]);
     }
 
+    pub(crate) fn placement(&self, end: &'static str) {
+        self.placements.add(1, &[label("end", end)]);
+    }
+
     pub(crate) fn store_call(&self, end: &'static str) {
         self.store_calls.add(1, &[label("end", end)]);
     }
--- a/crates/front/src/target.rs
+++ b/crates/front/src/target.rs
@@ -211,6 +211,11 @@
         }
     }
 
+    /// Returns how much later the target counts as completing a request, after a failure.
+    pub(crate) fn failure_factor(&self, now: Instant) -> f64 {
+        self.state().load.failure_factor(now)
+    }
+
     /// Returns the estimated ratio of the target's latency to the typical one, without its queue.
     pub(crate) fn slowness(&self, now: Instant) -> f64 {
         self.state().load.slowness(now)
--- a/crates/front/src/target_set.rs
+++ b/crates/front/src/target_set.rs
@@ -344,7 +344,7 @@
                 let placement = target.placement(now, work, pool);
                 let jitter = 1.0 + COST_JITTER * fastrand::f64();
                 let is_full = !placement.full_left.is_zero();
-                let secs = placement.completion.as_secs_f64() * jitter;
+                let secs = placement.completion.as_secs_f64() * target.failure_factor(now) * jitter;
                 return (target.is_ejected(now) || is_full, secs, Some(placement));
             }
             let distance = if target.is_local { 1.0 } else { REMOTE_COST_FACTOR };
--- a/crates/policy/src/target_load.rs
+++ b/crates/policy/src/target_load.rs
@@ -45,6 +45,9 @@
 const REPORT_DECAY_MIN: Duration = Duration::from_millis(5);
 /// An exchange is overdue once it takes this many times its typical latency.
 const OVERDUE_FACTOR: f64 = 2.5;
+/// How much later a target that just failed counts as completing a request, as a multiple; this decays as
+/// the slowness does. A request that fails costs a retry, and retries have a budget.
+const FAILURE_FACTOR: f64 = 3.0;
 /// Consecutive failures after which a target is ejected.
 const EJECT_AFTER_FAILURES: u32 = 3;
 /// How long a target is ejected the first time; each further time doubles it.
@@ -95,6 +98,8 @@
     failures: u32,
     /// Whether an exchange failed since the last answer.
     has_failed: bool,
+    /// When an exchange last failed, unless the target answered since.
+    failed_at: Option<Instant>,
     /// Ejections since the last answer.
     ejections: u32,
     ejected_until: Option<Instant>,
@@ -115,6 +120,7 @@
             report_decay: Duration::ZERO,
             failures: 0,
             has_failed: false,
+            failed_at: None,
             ejections: 0,
             ejected_until: None,
             backoff_until: None,
@@ -140,6 +146,11 @@
             ExchangeEnd::Failed | ExchangeEnd::Unreachable | ExchangeEnd::Shed => self.has_failed = true,
             ExchangeEnd::Abandoned => {}
         }
+        match end {
+            ExchangeEnd::Answered | ExchangeEnd::Untimed => self.failed_at = None,
+            ExchangeEnd::Failed | ExchangeEnd::Unreachable => self.failed_at = Some(now),
+            ExchangeEnd::Shed | ExchangeEnd::Abandoned => {}
+        }
         match end {
             ExchangeEnd::Answered => {
                 self.sample(now, sample);
@@ -206,6 +217,7 @@
         self.sampled_at = None;
         (self.failures, self.ejections) = (0, 0);
         self.has_failed = false;
+        self.failed_at = None;
         self.ejected_until = None;
     }
 
@@ -240,6 +252,12 @@
         1.0 + SLOW_START_COST * (1.0 - since_backoff.div_duration_f64(SLOW_START_TIME))
     }
 
+    /// Returns how much later the target counts as completing a request after a failure, as a multiple.
+    #[must_use]
+    pub fn failure_factor(&self, now: Instant) -> f64 {
+        1.0 + FAILURE_FACTOR * decay(now, self.failed_at, SLOWNESS_DECAY)
+    }
+
     /// Tells whether fewer requests are estimated at the target than it has slots.
     #[must_use]
     pub fn has_free_slot(&self, now: Instant) -> bool {
--- a/crates/policy/tests/targets.rs
+++ b/crates/policy/tests/targets.rs
@@ -173,3 +173,21 @@
         assert!(load.cost_with_prior(start + Duration::from_secs(2), 0.1) > 0.9, "{end:?}");
     }
 }
+
+/// Guards against requests that go to a failing target as often as to others until it is ejected. A refusal
+/// for lack of room is no failure.
+#[test]
+fn a_target_that_failed_counts_as_later_for_a_while() {
+    let start = Instant::now();
+    let mut load = TargetLoad::new(2);
+    load.begin(start, TYPICAL_LATENCY);
+    load.end(start + ms(5), start, ExchangeEnd::Shed);
+    assert!((load.failure_factor(start + ms(5)) - 1.0).abs() < 1e-9);
+    load.begin(start + ms(5), TYPICAL_LATENCY);
+    load.end(start + ms(10), start + ms(5), ExchangeEnd::Failed);
+    assert!(load.failure_factor(start + ms(10)) > 3.0);
+    assert!(load.failure_factor(start + Duration::from_secs(20)) < 1.01);
+    load.begin(start + ms(20), TYPICAL_LATENCY);
+    load.end(start + ms(40), start + ms(20), ExchangeEnd::Answered);
+    assert!((load.failure_factor(start + ms(40)) - 1.0).abs() < 1e-9);
+}
