Spread the return of refused single requests over time

Callers that were refused together were all told the time by which the wait exceeds what is allowed, some 20 ms, and would have been refused again. They are told to return one after the other at the rate at which this host's requests are sent to targets, after a third of their remaining time at most.

--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -17,7 +17,8 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use egret_events::{Code, log_event};
 use egret_policy::{
-    CallerBudgets, LeadTimeEstimator, LimitShare, RequestCosts, RetryBudget, Suspects, TargetReach,
+    CallerBudgets, LeadTimeEstimator, LimitShare, RequestCosts, RetryBudget, ReturnSchedule, Suspects,
+    TargetReach,
 };
 use egret_routes::{Evacuations, Registry, Replica, ReplicaRun, Route, RouteTable};
 use tokio::sync::{Notify, watch};
@@ -96,6 +97,8 @@
     stated_budgets: Mutex<Vec<NamedEntry<CallerBudgets>>>,
     /// The costs of requests that need one target.
     request_costs: Mutex<RequestCosts>,
+    /// When callers that were refused may return, by service.
+    return_schedules: Mutex<Vec<NamedEntry<ReturnSchedule>>>,
     pub(crate) answer_memory: AnswerMemory,
     /// Runs of targets that announced that they shut down, until the control thread takes them.
     leaving: Mutex<Vec<ReplicaRun>>,
@@ -131,6 +134,7 @@
             latencies: Mutex::default(),
             stated_budgets: Mutex::default(),
             request_costs: Mutex::default(),
+            return_schedules: Mutex::default(),
             leaving: Mutex::default(),
             has_leaving: Notify::new(),
             reach: Mutex::default(),
--- a/crates/front/src/core/request_cost.rs
+++ b/crates/front/src/core/request_cost.rs
@@ -1,8 +1,8 @@
-//! The expected cost of requests that need one target.
+//! The expected cost of requests that need one target, and the return of those that are refused.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use egret_policy::RequestShape;
+use egret_policy::{RequestShape, ReturnSchedule};
 use egret_routes::{Backend, Route};
 
 use super::{Core, get_or_insert, lock};
@@ -36,6 +36,15 @@
         })
     }
 
+    /// Reads or updates when callers that were refused may return to a service.
+    pub(crate) fn with_return_schedule<R>(
+        &self,
+        service: &Arc<str>,
+        act: impl FnOnce(&mut ReturnSchedule) -> R,
+    ) -> R {
+        act(get_or_insert(&mut lock(&self.return_schedules), service, ReturnSchedule::default))
+    }
+
     /// Learns the cost of a request from its latency and from how long it was expected to wait for a slot.
     pub(crate) fn record_request_cost(
         &self,
--- a/crates/front/src/fan_out/attempts.rs
+++ b/crates/front/src/fan_out/attempts.rs
@@ -51,6 +51,7 @@
             return None;
         }
         if self.placed_work.is_some() {
+            self.core.with_return_schedule(service, |schedule| schedule.record_served(now()));
             self.core.instruments.placement("sent");
         }
         if self.delivered[shard] == 0 && !self.options.is_repeat {
--- a/crates/front/src/fan_out/placement.rs
+++ b/crates/front/src/fan_out/placement.rs
@@ -13,6 +13,8 @@
 /// A request is hedged after this multiple of its expected cost at the earliest: a long request that takes as
 /// long as expected gains nothing from a second one.
 const HEDGE_COST_FACTOR: f64 = 1.5;
+/// Callers wait at most their remaining time divided by this before they return.
+const RETURN_DIVISOR: u32 = 3;
 /// The share of the latency objective during which a request that targets refused for lack of room is
 /// offered to them again; a refusal of the caller counts as prompt until then.
 const PROMPT_SHARE: f64 = 0.25;
@@ -91,17 +93,26 @@
         target.placement(now, &work, pool).wait
     }
 
-    /// Sets the time after which the caller may return, where all targets refused the request.
+    /// Sets the time after which the caller may return, where the request was sent to no target or all targets
+    /// refused it.
     pub(super) fn set_return_time(&mut self) {
-        if let Some(work) = self.placed_work
-            && self.result.backoff_left.is_none()
-            && !self.result.may_have_run
-            && self.progress.received_parts() == 0
-        {
-            let filter = PickFilter::EarliestCompletion(work);
-            let target = self.core.targets.load().pick(now(), &[&self.services[0]], &[], filter);
-            self.result.backoff_left =
-                target.and_then(|target| self.expected_refusal(now(), 0, &target, work));
+        let Some(work) = self.placed_work else { return };
+        let has_backoff = self.result.without_target > 0;
+        if self.result.may_have_run || self.progress.received_parts() > 0 || has_backoff {
+            return;
         }
+        let now = now();
+        let service = &self.services[0];
+        let earliest = self.result.backoff_left.or_else(|| {
+            let filter = PickFilter::EarliestCompletion(work);
+            let target = self.core.targets.load().pick(now, &[service], &[], filter)?;
+            self.expected_refusal(now, 0, &target, work)
+        });
+        // Callers wait no longer than this.
+        let latest = self.options.limits.deadline.saturating_duration_since(now) / RETURN_DIVISOR;
+        let earliest = earliest.unwrap_or(work.mean_cost);
+        let after =
+            self.core.with_return_schedule(service, |schedule| schedule.reserve(now, earliest, latest));
+        self.result.backoff_left = Some(after);
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -42,6 +42,7 @@
 //! - [`RequestLimit`], [`LimitShare`]: the limit on requests that a target states for all hosts.
 //! - [`WarmUpLimits`], [`warm_up_owner`]: the limit on requests to a replica that warms up.
 //! - [`RequestCosts`], [`TargetBacklog`], [`refusal`]: the cost of single requests and where they go.
+//! - [`ReturnSchedule`]: when callers that were refused may return.
 //! - [`LeadTimeEstimator`]: how long before its latency objective an answer must be made.
 //!
 //! docs/DESIGN.md explains the trade-offs of each.
@@ -67,6 +68,7 @@
 mod request_cost;
 mod request_limit;
 mod retry_budget;
+mod return_schedule;
 mod shard_choice;
 mod snapshot;
 mod store_readers;
@@ -99,6 +101,7 @@
 pub use request_cost::{RequestCosts, RequestShape};
 pub use request_limit::{LimitShare, RequestLimit};
 pub use retry_budget::{RetryBudget, RetryLimits};
+pub use return_schedule::ReturnSchedule;
 pub use shard_choice::{ShardChoice, ShardEstimate, choose_shards, max_expected_latency};
 pub use snapshot::{ServiceSnapshots, choose_snapshot};
 pub use store_readers::{store_reader_count, store_readers, store_retry_backoff};
--- a/crates/policy/src/target_backlog.rs
+++ b/crates/policy/src/target_backlog.rs
@@ -12,6 +12,11 @@
 const POOL_IDLE_WEIGHT: f64 = 0.3;
 /// The weight of all reports from which the mean counts as known.
 const POOL_KNOWN_WEIGHT: f64 = 0.5;
+/// The time constant of the decay of a target's mean: targets that are slow or far from others differ from
+/// the mean over all of them for longer than one queue lasts.
+const MEAN_DECAY: Duration = Duration::from_secs(5);
+/// The greatest weight of that mean beside the mean over all targets, in reports.
+const MEAN_WEIGHT_MAX: f64 = 4.0;
 /// What each pending request adds to the wait, as a share of the mean cost, even where a slot seems free:
 /// the estimate may be too low, and idle targets are preferred to busy ones.
 const BUSY_SLOT_COST: f64 = 0.08;
@@ -57,6 +62,9 @@
     slots: f64,
     own: Vec<OwnExchange>,
     report: Option<Report>,
+    /// The mean of the other hosts' pending requests over the reports, and its weight at the last one.
+    mean_others: f64,
+    mean_weight: f64,
     full_until: Option<Instant>,
 }
 
@@ -64,7 +72,14 @@
     /// Creates the state of a target without exchanges or reports.
     #[must_use]
     pub fn new(slots: u32) -> Self {
-        Self { slots: f64::from(slots.max(1)), own: Vec::new(), report: None, full_until: None }
+        Self {
+            slots: f64::from(slots.max(1)),
+            own: Vec::new(),
+            report: None,
+            mean_others: 0.0,
+            mean_weight: 0.0,
+            full_until: None,
+        }
     }
 
     /// Records the start of an exchange with its expected cost and wait.
@@ -86,6 +101,9 @@
             self.slots = f64::from(slots);
         }
         let others = (f64::from(report.pending) - own).max(0.0);
+        let weight = self.mean_weight(now);
+        self.mean_others = (self.mean_others * weight + others) / (weight + 1.0);
+        self.mean_weight = (weight + 1.0).min(MEAN_WEIGHT_MAX);
         self.report = Some(Report { at: now, others, slowness: report.slowness });
     }
 
@@ -147,8 +165,14 @@
     fn others(&self, now: Instant, mean_cost: Duration, pool: PooledLoad) -> f64 {
         let pooled = pool.per_slot() * self.slots;
         let Some(report) = self.report else { return pooled };
+        let weight = self.mean_weight(now);
+        let usual = (self.mean_others * weight + pooled) / (weight + 1.0);
         let kept = decay(now, report.at, mean_cost.mul_f64(REPORT_DECAY_FACTOR));
-        pooled + (report.others - pooled) * kept
+        usual + (report.others - usual) * kept
+    }
+
+    fn mean_weight(&self, now: Instant) -> f64 {
+        self.report.map_or(0.0, |report| self.mean_weight * decay(now, report.at, MEAN_DECAY))
     }
 }
 
