--- a/crates/front/src/instruments.rs
+++ b/crates/front/src/instruments.rs
@@ -20,6 +20,7 @@
     gathers: Counter<u64>,
     admissions: Counter<u64>,
     forwards: Counter<u64>,
+    placements: Counter<u64>,
     store_calls: Counter<u64>,
     gossip_exchanges: Counter<u64>,
 }
@@ -44,6 +45,10 @@
                 .counter("admissions", "Gathers by whether they started, waited or were refused."),
             forwards: metrics
                 .counter("forwards", "Requests for one target sent to other hosts, by their end."),
+            placements: metrics.counter(
+                "placements",
+                "Requests for one target by whether one was expected to complete them.",
+            ),
             store_calls: metrics.counter("store_calls", "Calls to the platform's store by their end."),
             gossip_exchanges: metrics.counter("news", "Messages to other hosts by their end."),
             metrics,
@@ -88,6 +93,10 @@
         self.forwards.add(1, &[label("end", end)]);
     }
 
+    pub(crate) fn placement(&self, end: &'static str) {
+        self.placements.add(1, &[label("end", end)]);
+    }
+
     pub(crate) fn store_call(&self, end: &'static str) {
         self.store_calls.add(1, &[label("end", end)]);
     }
