--- a/crates/front/src/fan_out/attempts.rs
+++ b/crates/front/src/fan_out/attempts.rs
@@ -15,9 +15,6 @@
     target_set::PickFilter,
 };
 
-/// The queue that is assumed at a target that shed a request, as a multiple of its slots.
-const SHED_QUEUE_PER_SLOT: f64 = 4.0;
-
 /// An attempt to be made, with the target that was chosen for it.
 pub(super) struct NextAttempt {
     pub(super) shard: usize,
@@ -167,7 +164,6 @@
                 }
             }
             ExchangeResult::NotRun(_) => {
-                self.result.queued_per_slot.push(SHED_QUEUE_PER_SLOT);
                 if !self.progress.record_failure(shard) {
                     self.progress.abandon_shard(shard);
                     if !self.progress.has_part(shard) && self.progress.is_abandoned(shard) {
--- a/crates/front/src/fan_out_result.rs
+++ b/crates/front/src/fan_out_result.rs
@@ -46,8 +46,8 @@
     pub(crate) hedges_without_target: u32,
     /// Hedges that were not sent for lack of retry budget.
     pub(crate) hedges_without_budget: u32,
-    /// The requests that waited at each target that answered or shed the request, as a multiple of its
-    /// slots.
+    /// The requests that waited at each target that answered, as a multiple of its slots. A shed request
+    /// says nothing of the queue: some targets shed without one.
     pub(crate) queued_per_slot: Vec<f64>,
     /// How many times no target could take the first attempt at a service.
     pub(crate) without_target: u32,
