Let attempts that run at their targets complete in the background

Cause: when a gather is answered or a hedge wins, the attempts that are left are dropped, which closes their connections. The next request to the target opens a new one, which occupies a slot for 6 ms, where a part may take 2.5 ms.

Change: policy::SentAttempt decides when a fan-out ends. An attempt whose target had a free slot when it was sent, or whose expected end is at most one service time away, completes in the background: for at most four service times, 400 ms, and its deadline, and at most 256 of them per host. Its connection is kept; its result updates the target's load and the route's latencies only. A connection that is being opened is kept unused. All others are cancelled as before, and so is everything when the fan-out is dropped, as its caller or the calling host closed the connection. An exchange holds its message instead of its request, so that the body is freed once it is written.

BackgroundCompletion (background-completion) switches it off.

The effect under load is not measured yet.

--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -1,6 +1,7 @@
 //! The fan-out of a request to one replica of each service that it needs.
 
 mod attempts;
+mod background;
 mod remote_gatherers;
 mod skipped;
 
@@ -11,11 +12,12 @@
 
 use egret_policy::{GatherLimits, GatherProgress, GatherStep};
 use egret_routes::{Backend, Route};
-use futures_util::{FutureExt, StreamExt, stream::FuturesUnordered};
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use tokio::sync::watch;
 
 use self::{
     attempts::{AttemptEnd, NextAttempt},
+    background::{Running, end_left_attempts},
     remote_gatherers::{RemoteGatherer, RemoteReply},
     skipped::ReadmitWhen,
 };
@@ -112,7 +114,7 @@
     let mut running = FuturesUnordered::new();
     let gatherers = fan_out.remote_gatherers();
     for (gatherer, shards) in gatherers {
-        running.push(fan_out.call_remote_gatherer(gatherer, shards).boxed());
+        running.push(Running::reply(fan_out.call_remote_gatherer(gatherer, shards)));
     }
     let mut attempts = Vec::new();
     for shard in 0..services.len() {
@@ -124,7 +126,7 @@
     if fan_out.lacks_targets() {
         return fan_out.refuse(&attempts);
     }
-    running.extend(attempts.into_iter().map(|attempt| fan_out.run_attempt(attempt).boxed()));
+    running.extend(attempts.into_iter().map(|attempt| fan_out.run_attempt(attempt)));
     loop {
         fan_out.send_due_parts();
         if fan_out.has_lost_targets && options.may_retry {
@@ -143,6 +145,7 @@
                 let more = fan_out.readmit(ReadmitWhen::LikelyInTime);
                 if more.is_empty() {
                     fan_out.result.is_enough = true;
+                    end_left_attempts(core, route, options.limits.deadline, running);
                     return fan_out.finish(false);
                 }
                 more.into_iter().map(Next::Attempt).collect()
@@ -150,7 +153,9 @@
             GatherStep::Fail => {
                 let more = fan_out.readmit(ReadmitWhen::SlotFree);
                 if more.is_empty() && !fan_out.can_still_be_enough() {
-                    return fan_out.finish(!running.is_empty());
+                    let is_running = !running.is_empty();
+                    end_left_attempts(core, route, options.limits.deadline, running);
+                    return fan_out.finish(is_running);
                 }
                 if more.is_empty() {
                     wait(&mut running, &mut fan_out, &mut partition, now() + SKIPPED_CHECK_INTERVAL).await
@@ -168,23 +173,20 @@
             }
         };
         running.extend(more.into_iter().map(|next| match next {
-            Next::Attempt(attempt) => fan_out.run_attempt(attempt).boxed(),
-            Next::RemoteReply(gatherer) => gatherer.next().boxed(),
+            Next::Attempt(attempt) => fan_out.run_attempt(attempt),
+            Next::RemoteReply(gatherer) => Running::reply(gatherer.next()),
         }));
     }
 }
 
 /// Waits for the end of an attempt, the reply of a gatherer or the loss of all targets, at most until
 /// `until`; returns what to run next.
-async fn wait<F>(
-    running: &mut FuturesUnordered<F>,
+async fn wait(
+    running: &mut FuturesUnordered<Running>,
     fan_out: &mut FanOut<'_>,
     partition: &mut watch::Receiver<bool>,
     until: Instant,
-) -> Vec<Next>
-where
-    F: Future<Output = FanOutEvent>,
-{
+) -> Vec<Next> {
     let due_at = fan_out.result.parts_sender.as_ref().and_then(PartsSender::due_at);
     let until = due_at.map_or(until, |due_at| due_at.min(until));
     tokio::select! {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -23,6 +23,7 @@
 
 mod answer;
 mod answer_memory;
+mod attempt_state;
 mod bounded_io;
 mod caller_connection;
 mod caller_request;
--- a/crates/front/src/target.rs
+++ b/crates/front/src/target.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use egret_policy::{ExchangeEnd, LimitShare, RequestLimit, TargetLoad};
+use egret_policy::{ExchangeEnd, LimitShare, RequestLimit, SentAttempt, TargetLoad};
 use egret_routes::Replica;
 use tokio::sync::Notify;
 
@@ -188,6 +188,17 @@
         self.state().load.has_free_slot(now)
     }
 
+    /// Returns what is expected of an attempt that is sent now, apart from those already in flight.
+    pub(crate) fn expected_attempt(&self, now: Instant, typical_latency: Duration) -> SentAttempt {
+        let state = self.state();
+        SentAttempt {
+            sent_at: now,
+            had_free_slot: state.load.has_free_slot(now),
+            service_time: typical_latency.mul_f64(state.load.slowness(now)),
+            expected_latency: typical_latency.mul_f64(state.load.cost(now)),
+        }
+    }
+
     /// Returns whether the target is ejected after failures, and picked only if there is no other.
     pub(crate) fn is_ejected(&self, now: Instant) -> bool {
         self.eject_failing && self.state().load.is_ejected(now)
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -37,6 +37,7 @@
 //! - [`Contention`]: services that recently refused work for lack of slots.
 //! - [`RelayHealth`], [`PauseDetector`]: which relays are down, and whether this process paused.
 //! - [`GatherProgress`], [`choose_shards`]: hedges, early answers and skipped shards of a gather.
+//! - [`SentAttempt`]: whether an attempt that no request waits for is cancelled or completes.
 //! - [`TargetLoad`], [`RetryBudget`]: load estimates and limits on extra attempts at
 //!   targets.
 //! - [`RequestLimit`], [`LimitShare`]: the limit on requests that a target states for all hosts.
@@ -46,6 +47,7 @@
 //! docs/DESIGN.md explains the trade-offs of each.
 
 mod admission;
+mod attempt_ending;
 mod baseline;
 mod block_owners;
 mod caller_budgets;
@@ -77,6 +79,7 @@
 mod weighted_draw;
 mod work;
 
+pub use attempt_ending::{AttemptEnding, SentAttempt};
 pub use baseline::{Baseline, BaselineError};
 pub use block_owners::{OWNER_CANDIDATES, RelayHost, owner_candidates};
 pub use caller_budgets::CallerBudgets;
