Refuse answers of targets whose status no final response has

Cause: a target's 101 without an upgrade, and statuses from 600 to 999, were passed on to callers if they came with a receipt, for a single request and through /v1/forward; with X-Not-Executed, a status of 600 was taken for a request that did not run, and a non-idempotent request was sent again. Status lines that cannot be parsed (000, 099, 1000, letters, none), an endless series of 1xx, and parts of gathers were not at fault.

Change: an answer with a status under 200 or over 599 is lost (LossCause::InvalidStatus): the request may have run, its connection is closed, and an idempotent request is retried. The status of an answer that another host passes on is checked, too, as that host may be of an earlier build.

The check of answers from hosts of earlier builds has no test.

--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -25,7 +25,7 @@
     core::Core,
     retry_after::retry_after,
     target::{InFlightGuard, Target},
-    target_answer::{ExchangeResult, LossCause, TargetAnswer},
+    target_answer::{ExchangeResult, LossCause, TargetAnswer, is_final_status},
 };
 
 /// The limit of the body of an answer that is passed on to the caller, in bytes.
@@ -225,6 +225,9 @@
 ) -> ExchangeResult {
     let names = &core.options.headers;
     let (head, body) = res.into_parts();
+    if !is_final_status(head.status) {
+        return ExchangeResult::Lost(LossCause::InvalidStatus);
+    }
     if head.headers.get(&names.request_id).is_some_and(|id| id != request_id) {
         return ExchangeResult::Lost(LossCause::Foreign);
     }
--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -17,7 +17,7 @@
     core::Core,
     delegate::{DelegateError, GATHERERS_ASKED_MAX, call, pick_gatherer},
     forward_call::{ForwardCall, ForwardReply, ForwardedAnswer},
-    target_answer::TargetAnswer,
+    target_answer::{TargetAnswer, is_final_status},
 };
 
 /// The path at which gatherers take requests for one target.
@@ -105,9 +105,11 @@
     type Error = DelegateError;
 
     fn try_from(answer: ForwardedAnswer) -> Result<Self, DelegateError> {
+        // A host of an earlier build passes on what it got from its target.
+        let status = StatusCode::from_u16(answer.status).ok().filter(|status| is_final_status(*status));
         let receipt = answer.receipt.map(|receipt| HeaderValue::from_bytes(&receipt)).transpose();
         Ok(Self {
-            status: StatusCode::from_u16(answer.status).map_err(|_| DelegateError::Broken)?,
+            status: status.ok_or(DelegateError::Broken)?,
             headers: decode_headers(&answer.headers).ok_or(DelegateError::Broken)?,
             receipt: receipt.map_err(|_| DelegateError::Broken)?,
             body: answer.body,
--- a/crates/front/src/target_answer.rs
+++ b/crates/front/src/target_answer.rs
@@ -27,10 +27,22 @@
     Encoded,
     #[display("answer with success lacks a receipt")]
     Unsigned,
+    /// No final response to a request has this status, so that nothing else in the answer can be trusted.
+    #[display("answer has an invalid status")]
+    InvalidStatus,
     #[display("answer is over a size or memory limit")]
     TooLarge,
 }
 
+/// Returns whether a final response to a request may have a status.
+///
+/// Statuses under 200 are interim responses, or 101, which only answers a request to switch protocols; the
+/// system sends none. Those from 600 are invalid (RFC 9110, section 15); some clients of callers cannot read
+/// them.
+pub(crate) fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// The result of an exchange with a target.
 #[derive(Clone, Debug)]
 pub(crate) enum ExchangeResult {
