--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -1,7 +1,6 @@
 //! The state of one host that all its requests share.
 
 mod answer_timing;
-mod background;
 mod extra_attempts;
 mod reach;
 mod request_cost;
@@ -17,19 +16,18 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use egret_events::{Code, log_event};
-use egret_model::Fingerprint;
 use egret_policy::{
     CallerBudgets, LeadTimeEstimator, LimitShare, RequestCosts, RetryBudget, ReturnSchedule, Suspects,
     TargetReach,
 };
 use egret_routes::{Evacuations, Registry, Replica, ReplicaRun, Route, RouteTable};
-use hyper::header::HeaderValue;
-use tokio::sync::{Notify, Semaphore, watch};
+use tokio::sync::{Notify, watch};
 
 use crate::{
     Mechanism, Options,
     admission::Admission,
     answer_memory::AnswerMemory,
+    caller_request::CallerRequest,
     clock::now,
     connection::Connection,
     instruments::Instruments,
@@ -105,8 +103,6 @@
     pub(crate) answer_memory: AnswerMemory,
     /// The gathers that run or wait on this host.
     pub(crate) admission: Mutex<Admission>,
-    /// One permit for each attempt that may complete in the background.
-    pub(crate) background_attempts: Arc<Semaphore>,
     /// Runs of targets that announced that they shut down, until the control thread takes them.
     leaving: Mutex<Vec<ReplicaRun>>,
     has_leaving: Notify,
@@ -119,7 +115,6 @@
     pub(crate) fn new(options: Options) -> Self {
         Self {
             answer_memory: AnswerMemory::new(options.memory_bytes / ANSWERS_MEMORY_DIVISOR),
-            background_attempts: Arc::new(Semaphore::new(background::ATTEMPTS_MAX)),
             lead_time: Mutex::new(LeadTimeEstimator::new(options.millicores, options.link_bytes_per_s)),
             options,
             table: ArcSwapOption::default(),
@@ -353,13 +348,10 @@
 
     /// Checks whether a request whose connection broke crashed its target, and marks it as suspect
     /// if the target accepts no connection while another one does.
-    pub(crate) fn check_for_crash(
-        self: &Arc<Self>,
-        target: Arc<Target>,
-        fingerprint: Fingerprint,
-        id: HeaderValue,
-    ) {
+    pub(crate) fn check_for_crash(self: &Arc<Self>, target: Arc<Target>, req: &CallerRequest) {
         let core = Arc::clone(self);
+        let fingerprint = req.fingerprint;
+        let id = req.id.clone();
         tokio::spawn(async move {
             tokio::time::sleep(CRASH_CHECK_DELAY).await;
             if let Some(connection) = Connection::open(&target).await {
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use egret_events::{Code, log_event};
-use egret_policy::{ExchangeEnd, LoadReport, SentAttempt};
+use egret_policy::{ExchangeEnd, LoadReport};
 use egret_routes::TopRecords;
 use http_body_util::{BodyExt, Full};
 use hyper::{
@@ -18,7 +18,6 @@
 
 use crate::{
     Mechanism,
-    attempt_state::{AttemptState, AttemptStep},
     caller_request::CallerRequest,
     clock::now,
     connection::{Connection, HEAD_BYTES_MAX},
@@ -59,27 +58,18 @@
 
 /// Sends a request to a target and reads its whole answer.
 ///
-/// Dropping the future closes the connection, so that the target stops working on the request. Once the
-/// attempt is withdrawn, nothing more is sent, and an unused connection is kept.
+/// Dropping the future closes the connection, so that the target stops working on the request.
 pub(crate) async fn exchange(
     core: Arc<Core>,
-    state: Arc<AttemptState>,
+    target: Arc<Target>,
     req: Arc<CallerRequest>,
     options: ExchangeOptions,
 ) -> ExchangeResult {
-    let target = Arc::clone(&state.target);
-    let message = message(&core, &target, &req);
-    let (id, fingerprint) = (req.id.clone(), req.fingerprint);
-    // An exchange that completes in the background must not hold the request: its body is freed once it
-    // is written.
-    drop(req);
     let _exchange = ExchangeGuard::begin(&core, options.typical_latency);
-    let expected = target.expected_attempt(now(), options.typical_latency);
     let mut running =
         InFlightGuard::begin(Arc::clone(&target), now(), options.typical_latency).with_work(options.work);
-    let result = send(&core, &state, message, &id, expected, options).await;
+    let result = send(&core, &target, &req, options).await;
     let end = match &result {
-        ExchangeResult::NotSent if state.is_withdrawn() => ExchangeEnd::Abandoned,
         // The target was not tried: it takes no requests now.
         ExchangeResult::NotSent if !target.accepts_chosen_requests(now()) => ExchangeEnd::Abandoned,
         ExchangeResult::Success(_) => ExchangeEnd::Answered,
@@ -93,7 +83,7 @@
     core.instruments.exchange(end_label(end));
     if matches!(result, ExchangeResult::Lost(LossCause::Broken)) {
         core.target_connection_failed(&target);
-        core.check_for_crash(target, fingerprint, id);
+        core.check_for_crash(target, &req);
     }
     result
 }
@@ -127,53 +117,39 @@
 
 async fn send(
     core: &Arc<Core>,
-    state: &AttemptState,
-    mut message: Request<Full<Bytes>>,
-    id: &HeaderValue,
-    expected: SentAttempt,
+    target: &Arc<Target>,
+    req: &Arc<CallerRequest>,
     options: ExchangeOptions,
 ) -> ExchangeResult {
-    let target = &state.target;
     loop {
-        let Some(mut connection) = connect(core, state, options).await else {
-            return ExchangeResult::NotSent;
-        };
-        if state.is_withdrawn() {
-            connection.keep(target);
-            return ExchangeResult::NotSent;
-        }
+        let connection = connect(core, target, options).await;
         let sent_at = now();
-        if !target.try_send(sent_at) {
+        let Some(mut connection) = connection.filter(|_| target.try_send(sent_at)) else {
             return ExchangeResult::NotSent;
-        }
-        state.set_step(AttemptStep::Sent(SentAttempt { sent_at, ..expected }));
+        };
         connection.allowance.set(HEAD_BYTES_MAX);
-        let left_ms = options.end_at.saturating_duration_since(sent_at).as_millis().max(1) as u64;
-        message.headers_mut().insert(core.options.headers.deadline_ms.clone(), HeaderValue::from(left_ms));
+        let message = message(core, target, req, options.end_at);
         let res = match connection.sender.try_send_request(message).await {
             Ok(res) => res,
-            Err(mut error) => match error.take_message() {
-                // The connection ended while it was idle, before any byte was written: try again.
-                Some(unsent) => {
-                    message = unsent;
+            Err(mut error) => {
+                if error.take_message().is_some() {
+                    // The connection ended while it was idle, before any byte was written: try again.
                     continue;
                 }
-                None => return ExchangeResult::Lost(loss_cause(&connection)),
-            },
+                return ExchangeResult::Lost(loss_cause(&connection));
+            }
         };
         core.target_answered(options.typical_latency);
         apply_target_state(core, target, sent_at, &res);
-        return receive(core, target, id, options, connection, res).await;
+        return receive(core, target, req, options, connection, res).await;
     }
 }
 
 /// Takes an idle connection or opens a new one; waits while this host has as many as it may have.
 ///
 /// Returns `None` if the target accepts no requests or cannot be reached.
-async fn connect(core: &Arc<Core>, state: &AttemptState, options: ExchangeOptions) -> Option<Connection> {
-    let target = &state.target;
+async fn connect(core: &Arc<Core>, target: &Arc<Target>, options: ExchangeOptions) -> Option<Connection> {
     loop {
-        state.set_step(AttemptStep::Connecting);
         // Created before the target's state is checked: if the target retires or backs off in
         // between, this exchange is woken all the same.
         let freed = target.connection_freed.notified();
@@ -200,18 +176,18 @@
             tokio::task::yield_now().await;
             continue;
         }
-        state.set_step(AttemptStep::Waiting);
         freed.await;
     }
 }
 
-/// Returns the message to a target, without the time that is left for it.
-fn message(core: &Core, target: &Target, req: &CallerRequest) -> Request<Full<Bytes>> {
+fn message(core: &Core, target: &Target, req: &CallerRequest, end_at: Instant) -> Request<Full<Bytes>> {
     let names = &core.options.headers;
     let mut message = Request::new(Full::new(req.body.clone()));
     *message.method_mut() = req.method.clone();
     *message.uri_mut() = req.uri.clone();
     let mut headers = req.headers.clone();
+    let left_ms = end_at.saturating_duration_since(now()).as_millis().max(1) as u64;
+    headers.insert(names.deadline_ms.clone(), HeaderValue::from(left_ms));
     if let Ok(id) = HeaderValue::from_str(&target.replica.id) {
         headers.insert(names.expected_target.clone(), id);
     }
@@ -222,7 +198,7 @@
 async fn receive(
     core: &Core,
     target: &Arc<Target>,
-    request_id: &HeaderValue,
+    req: &CallerRequest,
     options: ExchangeOptions,
     mut connection: Connection,
     res: Response<Incoming>,
@@ -232,7 +208,7 @@
     if !is_final_status(head.status) {
         return ExchangeResult::Lost(LossCause::InvalidStatus);
     }
-    if head.headers.get(&names.request_id).is_some_and(|id| id != request_id) {
+    if head.headers.get(&names.request_id).is_some_and(|id| *id != req.id) {
         return ExchangeResult::Lost(LossCause::Foreign);
     }
     let queued_per_slot = apply_load_report(core, target, &head.headers, options.typical_latency);
--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -1,7 +1,6 @@
 //! The fan-out of a request to one replica of each service that it needs.
 
 mod attempts;
-mod background;
 mod placement;
 mod remote_gatherers;
 mod skipped;
@@ -13,12 +12,11 @@
 
 use egret_policy::{GatherLimits, GatherProgress, GatherStep};
 use egret_routes::{Backend, Route};
-use futures_util::{StreamExt, stream::FuturesUnordered};
+use futures_util::{FutureExt, StreamExt, stream::FuturesUnordered};
 use tokio::sync::watch;
 
 use self::{
     attempts::{AttemptEnd, NextAttempt},
-    background::{Running, end_left_attempts},
     remote_gatherers::{RemoteGatherer, RemoteReply},
     skipped::ReadmitWhen,
 };
@@ -121,7 +119,7 @@
     let mut running = FuturesUnordered::new();
     let gatherers = fan_out.remote_gatherers();
     for (gatherer, shards) in gatherers {
-        running.push(Running::reply(fan_out.call_remote_gatherer(gatherer, shards)));
+        running.push(fan_out.call_remote_gatherer(gatherer, shards).boxed());
     }
     let mut attempts = Vec::new();
     for shard in 0..services.len() {
@@ -133,7 +131,7 @@
     if fan_out.lacks_targets() {
         return fan_out.refuse(&attempts);
     }
-    running.extend(attempts.into_iter().map(|attempt| fan_out.run_attempt(attempt)));
+    running.extend(attempts.into_iter().map(|attempt| fan_out.run_attempt(attempt).boxed()));
     loop {
         fan_out.send_due_parts();
         if fan_out.has_lost_targets && options.may_retry {
@@ -152,7 +150,6 @@
                 let more = fan_out.readmit(ReadmitWhen::LikelyInTime);
                 if more.is_empty() {
                     fan_out.result.is_enough = true;
-                    end_left_attempts(core, route, options.limits.deadline, running);
                     return fan_out.finish(false);
                 }
                 more.into_iter().map(Next::Attempt).collect()
@@ -160,9 +157,7 @@
             GatherStep::Fail => {
                 let more = fan_out.readmit(ReadmitWhen::SlotFree);
                 if more.is_empty() && !fan_out.can_still_be_enough() {
-                    let is_running = !running.is_empty();
-                    end_left_attempts(core, route, options.limits.deadline, running);
-                    return fan_out.finish(is_running);
+                    return fan_out.finish(!running.is_empty());
                 }
                 if more.is_empty() {
                     wait(&mut running, &mut fan_out, &mut partition, now() + SKIPPED_CHECK_INTERVAL).await
@@ -180,20 +175,23 @@
             }
         };
         running.extend(more.into_iter().map(|next| match next {
-            Next::Attempt(attempt) => fan_out.run_attempt(attempt),
-            Next::RemoteReply(gatherer) => Running::reply(gatherer.next()),
+            Next::Attempt(attempt) => fan_out.run_attempt(attempt).boxed(),
+            Next::RemoteReply(gatherer) => gatherer.next().boxed(),
         }));
     }
 }
 
 /// Waits for the end of an attempt, the reply of a gatherer or the loss of all targets, at most until
 /// `until`; returns what to run next.
-async fn wait(
-    running: &mut FuturesUnordered<Running>,
+async fn wait<F>(
+    running: &mut FuturesUnordered<F>,
     fan_out: &mut FanOut<'_>,
     partition: &mut watch::Receiver<bool>,
     until: Instant,
-) -> Vec<Next> {
+) -> Vec<Next>
+where
+    F: Future<Output = FanOutEvent>,
+{
     let due_at = fan_out.result.parts_sender.as_ref().and_then(PartsSender::due_at);
     let until = due_at.map_or(until, |due_at| due_at.min(until));
     tokio::select! {
--- a/crates/front/src/fan_out/attempts.rs
+++ b/crates/front/src/fan_out/attempts.rs
@@ -6,9 +6,8 @@
 
 use egret_policy::max_expected_latency;
 
-use super::{FanOut, FanOutEvent, background::Running};
+use super::{FanOut, FanOutEvent};
 use crate::{
-    attempt_state::AttemptState,
     clock::now,
     exchange::{ExchangeOptions, exchange},
     target::Target,
@@ -104,7 +103,7 @@
     }
 
     /// Sends an attempt; the returned future ends with its outcome.
-    pub(super) fn run_attempt(&self, next: NextAttempt) -> Running {
+    pub(super) fn run_attempt(&self, next: NextAttempt) -> impl Future<Output = FanOutEvent> + Send + use<> {
         let NextAttempt { shard, target } = next;
         let sent_at = now();
         let wait = self.expected_wait(shard, &target);
@@ -117,13 +116,12 @@
             new_connection_only: !self.options.may_retry || self.result.last_loss == Some(LossCause::Foreign),
             top_k: self.top_k,
         };
-        let state = Arc::new(AttemptState::new(target));
-        let run = exchange(Arc::clone(self.core), Arc::clone(&state), Arc::clone(self.req), options);
-        Running::attempt(state, async move {
+        let run = exchange(Arc::clone(self.core), target, Arc::clone(self.req), options);
+        async move {
             let result = run.await;
             let latency = now().saturating_duration_since(sent_at);
             FanOutEvent::Attempt(AttemptEnd { shard, latency, wait, result })
-        })
+        }
     }
 
     /// Records the outcome of an attempt; returns the retry to send, if any.
--- a/crates/front/src/instruments.rs
+++ b/crates/front/src/instruments.rs
@@ -17,7 +17,6 @@
     extra_attempts: Counter<u64>,
     exchanges: Counter<u64>,
     connections: Counter<u64>,
-    attempts_left: Counter<u64>,
     gathers: Counter<u64>,
     admissions: Counter<u64>,
     forwards: Counter<u64>,
@@ -41,10 +40,6 @@
             extra_attempts: metrics.counter("extra_copies", "Copies beyond the first of each service."),
             exchanges: metrics.counter("exchanges", "Exchanges with targets by their end."),
             connections: metrics.counter("connections_opened", "Connections opened to targets."),
-            attempts_left: metrics.counter(
-                "attempts_left",
-                "Attempts that ran when their request ended, by what became of them.",
-            ),
             gathers: metrics.counter("gathers", "Gathers by who asked the targets."),
             admissions: metrics
                 .counter("admissions", "Gathers by whether they started, waited or were refused."),
@@ -86,10 +81,6 @@
         self.connections.add(1, &[]);
     }
 
-    pub(crate) fn attempt_left(&self, end: &'static str) {
-        self.attempts_left.add(1, &[label("end", end)]);
-    }
-
     pub(crate) fn gather(&self, by: &'static str) {
         self.gathers.add(1, &[label("by", by)]);
     }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -24,7 +24,6 @@
 mod admission;
 mod answer;
 mod answer_memory;
-mod attempt_state;
 mod bounded_io;
 mod caller_connection;
 mod caller_request;
--- a/crates/front/src/mechanism.rs
+++ b/crates/front/src/mechanism.rs
@@ -62,9 +62,6 @@
     CostAwarePlacement = "cost-aware-placement";
     /// Changes are pushed to some hosts at once, besides the periodic gossip.
     GossipPush = "push";
-    /// An attempt that runs at its target when its request ends completes, so that its connection can be
-    /// used again.
-    BackgroundCompletion = "background-completion";
 }
 
 /// The error for a name that no mechanism has.
--- a/crates/front/src/target.rs
+++ b/crates/front/src/target.rs
@@ -10,8 +10,7 @@
 };
 
 use egret_policy::{
-    ExchangeEnd, LimitShare, PlacementTarget, PooledLoad, RequestLimit, SentAttempt, TargetBacklog,
-    TargetLoad,
+    ExchangeEnd, LimitShare, PlacementTarget, PooledLoad, RequestLimit, TargetBacklog, TargetLoad,
 };
 use egret_routes::Replica;
 use tokio::sync::Notify;
@@ -227,17 +226,6 @@
         self.state().load.has_free_slot(now)
     }
 
-    /// Returns what is expected of an attempt that is sent now, apart from those already in flight.
-    pub(crate) fn expected_attempt(&self, now: Instant, typical_latency: Duration) -> SentAttempt {
-        let state = self.state();
-        SentAttempt {
-            sent_at: now,
-            had_free_slot: state.load.has_free_slot(now),
-            service_time: typical_latency.mul_f64(state.load.slowness(now)),
-            expected_latency: typical_latency.mul_f64(state.load.cost(now)),
-        }
-    }
-
     /// Returns whether the target is ejected after failures, and picked only if there is no other.
     pub(crate) fn is_ejected(&self, now: Instant) -> bool {
         self.eject_failing && self.state().load.is_ejected(now)
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -38,7 +38,6 @@
 //! - [`RelayHealth`], [`PauseDetector`]: which relays are down, and whether this process paused.
 //! - [`GatherProgress`], [`choose_shards`]: hedges, early answers and skipped shards of a gather.
 //! - [`QueryAdmission`]: start, queue or refuse whole queries while demand exceeds what targets complete in time.
-//! - [`SentAttempt`]: whether an attempt that no request waits for is cancelled or completes.
 //! - [`TargetLoad`], [`RetryBudget`]: load estimates and limits on extra attempts at
 //!   targets.
 //! - [`RequestLimit`], [`LimitShare`]: the limit on requests that a target states for all hosts.
@@ -51,7 +50,6 @@
 
 mod admission;
 mod admission_queue;
-mod attempt_ending;
 mod baseline;
 mod block_owners;
 mod caller_budgets;
@@ -93,7 +91,6 @@
 mod work;
 
 pub use admission_queue::{AdmissionQueue, QueuedQuery};
-pub use attempt_ending::{AttemptEnding, SentAttempt};
 pub use baseline::{Baseline, BaselineError};
 pub use block_owners::{OWNER_CANDIDATES, RelayHost, owner_candidates};
 pub use caller_budgets::CallerBudgets;
