--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -6,7 +6,7 @@
 };
 
 use egret_events::Code;
-use egret_policy::needed_queue;
+use egret_policy::common_queue;
 use egret_routes::{GatherPlan, Route, merge_top_records};
 use hyper::{StatusCode, header::HeaderValue};
 use tokio::sync::mpsc;
@@ -155,7 +155,7 @@
     fan_options.may_use_remote_gatherers = true;
     let result = fan_out(core, req, route, &plan.shards, fan_options, None).await;
     if let Some(admitted) = &mut admitted {
-        admitted.report(needed_queue(&result.queued_per_slot, plan.least_share), fan_options.typical_latency);
+        admitted.report(common_queue(&result.queued_per_slot), fan_options.typical_latency);
     }
     log_result(req, route, &result);
     let receipts = result.receipts().into_iter().map(|(at, receipt)| (at as u32, receipt)).collect();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -104,7 +104,7 @@
 pub use lead_time::{AnswerDelivery, LeadTimeEstimator};
 pub use pause::PauseDetector;
 pub use placement::{PlacementRequest, PlacementTarget, refusal};
-pub use query_admission::{QueryAdmission, QueryArrival, QueryEnd, QueryVerdict, needed_queue};
+pub use query_admission::{QueryAdmission, QueryArrival, QueryEnd, QueryVerdict, common_queue};
 pub use query_rank::{QueryRank, ReturnState};
 pub use relay_health::RelayHealth;
 pub use remote_shard_groups::{RemoteShardGroup, group_remote_shards};
--- a/crates/policy/src/query_admission.rs
+++ b/crates/policy/src/query_admission.rs
@@ -15,6 +15,8 @@
 const WAIT_OBJECTIVE_SHARE: f64 = 0.25;
 /// The share of the time that it has left after which a caller that was told to wait returns at the latest.
 const PATIENCE_SHARE: f64 = 1.0 / 3.0;
+/// The share of the targets, those with the shortest queues, that show how loaded the index is.
+const COMMON_SHARE: f64 = 2.0 / 3.0;
 /// The weight of a new sample in moving averages.
 const EWMA_WEIGHT: f64 = 0.1;
 /// The duration of a query before there are samples, as a share of its objective.
@@ -227,16 +229,16 @@
     }
 }
 
-/// Returns the mean queue at the targets whose parts a query needs, as a multiple of their slots; `None` if no target
-/// reported one.
+/// Returns the mean queue at the targets of a query, as a multiple of their slots, without the longest third of them;
+/// `None` if no target reported one.
 ///
-/// `queued_per_slot` holds the queues of all targets that it asked. An answer may leave out the shards with the longest
-/// ones, beyond `least_share`.
+/// A few slow replicas have long queues whatever the demand: fewer queries would not shorten them, and shards that
+/// depend on them are skipped or late. A queue at most targets is what a limit on the queries can shorten.
 #[must_use]
-pub fn needed_queue(queued_per_slot: &[f64], least_share: f64) -> Option<f64> {
+pub fn common_queue(queued_per_slot: &[f64]) -> Option<f64> {
     let mut queues = queued_per_slot.to_vec();
     queues.sort_unstable_by(f64::total_cmp);
-    queues.truncate((queues.len() as f64 * least_share).ceil() as usize);
+    queues.truncate((queues.len() as f64 * COMMON_SHARE).ceil() as usize);
     (!queues.is_empty()).then(|| queues.iter().sum::<f64>() / queues.len() as f64)
 }
 
