End the wait for a gatherer when its request fails

Cause: FrameReader::next waited until the connection ended. It does not: the kernel of a frozen process acknowledges what it is sent, and the waiting host has nothing unacknowledged after the acceptance. The deadline held only in the fan-out, which runs on the gatherer. The end of a response was awaited without a limit, too, after its last reply.

Ruled out: a wait for the acceptance (it has a limit of 60 ms, and the stand-in of the test had accepted); parts from other data centres (the fan-out ends at its own deadline; the test of these passed before the change).

Change: each call to a gatherer ends when its request fails at its caller's host, min(timeout_ms, deadline - 25 ms) after it arrived, and is reported as one that may have run. The end of a response is awaited for 10 ms.

--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -128,6 +128,12 @@
     secs * (1.0 - RETRY_AFTER_JITTER + 2.0 * RETRY_AFTER_JITTER * fastrand::f64())
 }
 
+/// Returns when a request without an answer fails, wherever it is worked on.
+pub(crate) fn end_at(route: &Route, req: &CallerRequest) -> Instant {
+    let allowed = req.deadline.saturating_sub(END_MARGIN).min(Duration::from_millis(route.timeout_ms));
+    req.arrived_at + allowed
+}
+
 /// Returns the options of a fan-out that needs `least` parts, ready at `objective_at`.
 pub(crate) fn fan_out_options(
     core: &Core,
@@ -136,14 +142,13 @@
     least: usize,
     objective_at: Instant,
 ) -> FanOutOptions {
-    let allowed = req.deadline.saturating_sub(END_MARGIN).min(Duration::from_millis(route.timeout_ms));
     let (typical_latency, hedge_delay) =
         core.with_latency(route, |latency| (latency.typical(), latency.hedge_delay()));
     let may_hedge = route.idempotent && core.is_enabled(Mechanism::Hedging);
     let limits = GatherLimits {
         min_shards: least,
         objective_at,
-        deadline: req.arrived_at + allowed,
+        deadline: end_at(route, req),
         hedge_delay: may_hedge.then_some(hedge_delay),
         attempts_max: route.attempts_max.max(1) as usize,
     };
--- a/crates/front/src/delegate.rs
+++ b/crates/front/src/delegate.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     Mechanism,
+    answer::end_at,
     caller_request::CallerRequest,
     carried_headers::encode_headers,
     clock::now,
@@ -81,12 +82,15 @@
     /// The connection ended, or a reply was malformed.
     #[display("broke the connection or sent a malformed reply")]
     Broken,
+    /// The gatherer accepted the request, but did not answer until the request failed at its caller's host.
+    #[display("accepted the request, but did not answer in time")]
+    TimedOut,
 }
 
 impl DelegateError {
     /// Returns whether the gatherer may have sent the request to targets.
     pub(crate) fn may_have_run(self) -> bool {
-        matches!(self, Self::NotAccepted | Self::Broken)
+        matches!(self, Self::NotAccepted | Self::Broken | Self::TimedOut)
     }
 }
 
@@ -139,7 +143,7 @@
         tried.push(Arc::clone(&gatherer.replica.id));
         let sent_at = now();
         let message = message(route, plan, req, None, GatherOptions { is_repeat, answer_at });
-        let called = call(Arc::clone(&gatherer), GATHER_PATH, route, message).await;
+        let called = call(Arc::clone(&gatherer), GATHER_PATH, route, message, end_at(route, req)).await;
         let reply = match called {
             Ok(mut replies) => replies.next::<GatherReply>().await,
             Err(error) => Err(error),
@@ -163,7 +167,8 @@
                 req.log(Code::GathererFailed, &detail);
                 is_repeat |= error.may_have_run();
                 failures += usize::from(error != DelegateError::NoTargets);
-                if error == DelegateError::Broken && has_spare_replicas(core, route, plan) {
+                let must_not_repeat = error == DelegateError::Broken && has_spare_replicas(core, route, plan);
+                if must_not_repeat || error == DelegateError::TimedOut {
                     let reply = GatherReply { may_have_run: true, ..GatherReply::not_run() };
                     return Delegation::Done { reply, ready_at: None };
                 }
@@ -225,23 +230,27 @@
         Backend::Gather(plan) => message(route, plan, req, Some(shards), options),
         Backend::One(_) | Backend::Split(_) => Bytes::new(),
     };
-    call(gatherer, GATHER_PATH, route, message)
+    call(gatherer, GATHER_PATH, route, message, end_at(route, req))
 }
 
 /// Sends a call to a gatherer and waits until it is accepted; returns the reader of its replies.
+///
+/// Neither the acceptance nor the replies are waited for after `end_at`: a gatherer that froze, or whose link was cut
+/// after it had accepted, leaves nothing unacknowledged, so that the connection does not break by itself.
 pub(crate) fn call(
     gatherer: Arc<Target>,
     path: &'static str,
     route: &Route,
     message: Bytes,
+    end_at: Instant,
 ) -> impl Future<Output = Result<FrameReader, DelegateError>> + Send + use<> {
     let typical_latency =
         Duration::from_millis(route.latency_objective_ms).mul_f64(TYPICAL_GATHER_OBJECTIVE_SHARE);
     async move {
         let mut running = InFlightGuard::begin(Arc::clone(&gatherer), now(), typical_latency);
-        let accepted = send_until_accepted(&gatherer, path, message).await;
+        let accepted = send_until_accepted(&gatherer, path, message, end_at).await;
         match accepted {
-            Ok((connection, body)) => Ok(FrameReader::new(connection, running, body)),
+            Ok((connection, body)) => Ok(FrameReader::new(connection, running, body, end_at)),
             Err(error) => {
                 let end = match error {
                     DelegateError::OtherPlan => ExchangeEnd::Shed,
@@ -259,8 +268,9 @@
     gatherer: &Arc<Target>,
     path: &'static str,
     body: Bytes,
+    end_at: Instant,
 ) -> Result<(Connection, Incoming), DelegateError> {
-    let accept_by = tokio::time::Instant::now() + ACCEPT_TIMEOUT;
+    let accept_by = tokio::time::Instant::from_std(end_at.min(now() + ACCEPT_TIMEOUT));
     loop {
         let connecting = async {
             match Connection::reuse(gatherer).await {
--- a/crates/front/src/fan_out/remote_gatherers.rs
+++ b/crates/front/src/fan_out/remote_gatherers.rs
@@ -129,7 +129,8 @@
     /// Replaces a gatherer that failed: asks targets for the parts that it did not deliver.
     ///
     /// Which targets the gatherer sent requests to is not known. A shard with more replicas than
-    /// the route's limit of attempts is therefore abandoned: further requests could exceed the limit.
+    /// the route's limit of attempts is therefore abandoned: further requests could exceed the limit. So are all
+    /// shards of a gatherer that was waited for until the fan-out ends.
     pub(super) fn on_gatherer_lost(
         &mut self,
         shards: Vec<usize>,
@@ -149,7 +150,8 @@
             }
             self.progress.undo_sent(shard);
             let replicas = self.core.targets.load().targets_of(&self.services[shard]).len();
-            if may_have_run && replicas > self.options.limits.attempts_max {
+            let is_over = error == DelegateError::TimedOut;
+            if is_over || may_have_run && replicas > self.options.limits.attempts_max {
                 self.progress.abandon_shard(shard);
             } else {
                 self.delivered[shard] = usize::from(may_have_run);
--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -11,6 +11,7 @@
 use hyper::{StatusCode, header::HeaderValue};
 
 use crate::{
+    answer::end_at,
     caller_request::CallerRequest,
     carried_headers::{decode_headers, encode_headers},
     clock::now,
@@ -48,7 +49,8 @@
         let gatherer = pick_gatherer(core, &near, &tried)?;
         tried.push(Arc::clone(&gatherer.replica.id));
         let message = egret_wire::encode_compact(&message(route, service, req, options));
-        let called = call(Arc::clone(&gatherer), FORWARD_PATH, route, message.into()).await;
+        let called =
+            call(Arc::clone(&gatherer), FORWARD_PATH, route, message.into(), end_at(route, req)).await;
         let reply = match called {
             Ok(mut replies) => replies.next::<ForwardReply>().await,
             Err(error) => Err(error),
--- a/crates/front/src/gather_frames.rs
+++ b/crates/front/src/gather_frames.rs
@@ -1,6 +1,9 @@
 //! The framing of the replies to a gather call: each is preceded by its length.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -17,6 +20,9 @@
 
 /// The size of the length before each reply, in bytes.
 const LENGTH_BYTES: usize = 4;
+/// How long the end of the body may take after the last reply, which it usually arrives with. The connection is
+/// not reused otherwise.
+const BODY_END_TIMEOUT: Duration = Duration::from_millis(10);
 /// A reply that is sent in frames.
 pub(crate) trait Framed: Serialize + DeserializeOwned {
     /// The limit of one reply, in bytes.
@@ -53,18 +59,26 @@
     running: InFlightGuard,
     body: Incoming,
     buf: BytesMut,
+    /// Until when replies are waited for.
+    end_at: Instant,
 }
 
 impl FrameReader {
-    pub(crate) fn new(connection: Connection, running: InFlightGuard, body: Incoming) -> Self {
+    pub(crate) fn new(
+        connection: Connection,
+        running: InFlightGuard,
+        body: Incoming,
+        end_at: Instant,
+    ) -> Self {
         let gatherer = Arc::clone(&running.target);
-        Self { gatherer, connection: Some(connection), running, body, buf: BytesMut::new() }
+        Self { gatherer, connection: Some(connection), running, body, buf: BytesMut::new(), end_at }
     }
 
     /// Reads the next reply.
     ///
     /// # Errors
-    /// Returns [`DelegateError::Broken`] if the connection ends or the reply cannot be decoded.
+    /// Returns [`DelegateError::Broken`] if the connection ends or the reply cannot be decoded, and
+    /// [`DelegateError::TimedOut`] if the reply is not here in time.
     pub(crate) async fn next<R: Framed>(&mut self) -> Result<R, DelegateError> {
         loop {
             if let Some(reply) = self.take_frame::<R>()? {
@@ -73,7 +87,8 @@
                 }
                 return Ok(reply);
             }
-            let frame = self.body.frame().await.ok_or(DelegateError::Broken)?;
+            let frame = tokio::time::timeout_at(self.end_at.into(), self.body.frame()).await;
+            let frame = frame.map_err(|_| DelegateError::TimedOut)?.ok_or(DelegateError::Broken)?;
             let frame = frame.map_err(|_| DelegateError::Broken)?;
             if let Ok(data) = frame.into_data() {
                 self.buf.extend_from_slice(&data);
@@ -100,7 +115,8 @@
     /// there, too.
     async fn finish(&mut self) {
         self.running.end(now(), egret_policy::ExchangeEnd::Answered);
-        if self.body.frame().await.is_none()
+        let end = tokio::time::timeout(BODY_END_TIMEOUT, self.body.frame()).await;
+        if matches!(end, Ok(None))
             && let Some(connection) = self.connection.take()
         {
             connection.keep(&self.gatherer);
