Count crashes by a request that takes down all known targets

Cause: check_for_crash counted a crash only if another target could be reached, so that a host whose links are cut blames no request. A query that crashes all targets within milliseconds leaves none that could show that.

Ruled out: marks that other hosts do not know in time (one host alone shows the fault); connections that do not count as broken (E524 and the checks follow from them).

Change: policy::CrashEvidence decides. Where no other target can be reached, the request is blamed if live machines refuse the connections, if it was sent to each known target (apart from those that were unreachable before it came), and if the store or another host was heard from within 3 s. A cut link takes targets that the request did not reach, too. Requests keep the addresses that they were sent to; targets keep since when no connection could be opened. check_for_crash moves to core/crash_check.rs.

--- a/crates/front/src/caller_request.rs
+++ b/crates/front/src/caller_request.rs
@@ -18,6 +18,7 @@
 use crate::{
     clock::now,
     header_names::{HeaderNames, remove_hop_by_hop},
+    sent_to::SentTo,
     timed_io::Arrival,
 };
 
@@ -43,6 +44,8 @@
     pub(crate) deadline: Duration,
     /// Identifies equal requests, so that one that crashes targets is recognised.
     pub(crate) fingerprint: Fingerprint,
+    /// The targets that the request was sent to from this host.
+    pub(crate) sent_to: SentTo,
 }
 
 /// Why a request could not be read. The names of the variants appear in log details.
@@ -102,6 +105,7 @@
             is_new_connection: arrival.is_new_connection,
             deadline,
             fingerprint,
+            sent_to: SentTo::default(),
         })
     }
 
--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -1,12 +1,14 @@
 //! A connection to a target or a gatherer.
 
 use std::{
+    io::ErrorKind,
     net::{IpAddr, SocketAddr},
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
+use egret_policy::ConnectOutcome;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -61,9 +63,26 @@
 impl Connection {
     /// Opens a connection; returns `None` if the target cannot be reached.
     pub(crate) async fn open(target: &Arc<Target>) -> Option<Self> {
-        let open_guard = OpenGuard::new(target);
+        Self::try_open(target).await.ok()
+    }
+
+    /// Opens a connection, and records at the target whether it can be reached.
+    ///
+    /// # Errors
+    /// Returns what the attempt showed if the target cannot be reached.
+    pub(crate) async fn try_open(target: &Arc<Target>) -> Result<Self, ConnectOutcome> {
         let connecting = connect(target.source, target.replica.address);
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await.ok()?.ok()?;
+        let open_guard = OpenGuard::new(target);
+        let outcome = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
+            Ok(Ok(stream)) => Self::start(stream, open_guard).await.ok_or(ConnectOutcome::Silent),
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Err(ConnectOutcome::Refused),
+            Ok(Err(_)) | Err(_) => Err(ConnectOutcome::Silent),
+        };
+        target.state().record_reached(now(), outcome.is_ok());
+        outcome
+    }
+
+    async fn start(stream: TcpStream, open_guard: OpenGuard) -> Option<Self> {
         prepare(&stream).ok()?;
         let allowance = Allowance::default();
         let io = TokioIo::new(BoundedIo::new(stream, allowance.clone()));
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -1,6 +1,7 @@
 //! The state of one host that all its requests share.
 
 mod answer_timing;
+mod crash_check;
 mod extra_attempts;
 mod reach;
 
@@ -14,7 +15,6 @@
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use egret_events::{Code, log_event};
 use egret_policy::{CallerBudgets, LeadTimeEstimator, LimitShare, RetryBudget, Suspects, TargetReach};
 use egret_routes::{Evacuations, Registry, Replica, ReplicaRun, Route, RouteTable};
 use tokio::sync::{Notify, watch};
@@ -22,9 +22,7 @@
 use crate::{
     Mechanism, Options,
     answer_memory::AnswerMemory,
-    caller_request::CallerRequest,
     clock::now,
-    connection::Connection,
     instruments::Instruments,
     limit_sharers::LimitSharers,
     route_latency::RouteLatency,
@@ -43,9 +41,6 @@
 /// The minimum number of hosts among which limits are divided, because a host that just started
 /// knows few others.
 const SHARING_HOSTS_MIN: usize = 12;
-/// The delay after a broken connection until the host tries to connect to the target, to learn
-/// whether it crashed.
-const CRASH_CHECK_DELAY: Duration = Duration::from_millis(20);
 /// Responses of targets may take up the host's memory divided by this.
 const ANSWERS_MEMORY_DIVISOR: usize = 4;
 
@@ -82,6 +77,8 @@
     /// Whether the time for requests in flight at a shutdown has passed.
     grace_ended: watch::Sender<bool>,
     store_confirmed_at: Mutex<Option<Instant>>,
+    /// When another host was last heard from.
+    peer_heard_at: Mutex<Option<Instant>>,
     /// When gatherers of other data centres last shed the requests to a service, by service.
     overloads: Mutex<Vec<NamedEntry<Instant>>>,
     /// The budgets for hedges and retries, by service.
@@ -121,6 +118,7 @@
             stopping: AtomicBool::new(false),
             grace_ended: watch::Sender::new(false),
             store_confirmed_at: Mutex::default(),
+            peer_heard_at: Mutex::default(),
             overloads: Mutex::default(),
             budgets: Mutex::default(),
             latencies: Mutex::default(),
@@ -332,30 +330,6 @@
         std::mem::take(&mut *lock(&self.leaving))
     }
 
-    /// Checks whether a request whose connection broke crashed its target, and marks it as suspect
-    /// if the target accepts no connection while another one does.
-    pub(crate) fn check_for_crash(self: &Arc<Self>, target: Arc<Target>, req: &CallerRequest) {
-        let core = Arc::clone(self);
-        let fingerprint = req.fingerprint;
-        let id = req.id.clone();
-        tokio::spawn(async move {
-            tokio::time::sleep(CRASH_CHECK_DELAY).await;
-            if let Some(connection) = Connection::open(&target).await {
-                connection.keep(&target);
-                return;
-            }
-            if !core.reaches_another_target(&target).await {
-                // This host lost its links; the request need not have to do with it.
-                return;
-            }
-            let now = now();
-            let breaks = lock(&core.suspects).record_break(now, fingerprint, true);
-            let detail =
-                format!("target {} is down after this request; {breaks} crashes so far", target.replica.id);
-            log_event(Code::SuspectMarked, id.to_str().unwrap_or_default(), &detail);
-        });
-    }
-
     pub(crate) fn suspects(&self) -> MutexGuard<'_, Suspects> {
         lock(&self.suspects)
     }
--- a/crates/front/src/core/reach.rs
+++ b/crates/front/src/core/reach.rs
@@ -6,7 +6,7 @@
 };
 
 use egret_events::{Code, log_event};
-use egret_policy::ReachChange;
+use egret_policy::{ConnectOutcome, ReachChange};
 use futures_util::future::join_all;
 use tokio::sync::watch;
 
@@ -14,7 +14,7 @@
 use crate::{clock::now, connection::Connection, target::Target};
 
 /// How many targets a check tries, so that a few that are down do not look like a partition.
-const CHECKED_TARGETS: usize = 6;
+pub(super) const CHECKED_TARGETS: usize = 6;
 /// How long a connection that a check opened must last: a device on the way may accept connections
 /// itself and then reset them.
 const CHECKED_CONNECTION_TIME: Duration = Duration::from_millis(20);
@@ -82,17 +82,6 @@
         }
     }
 
-    /// Returns whether a connection to any of some other targets opens.
-    pub(crate) async fn reaches_another_target(&self, target: &Arc<Target>) -> bool {
-        if self.is_partitioned() {
-            return false;
-        }
-        let mut others = self.targets.load().sample(CHECKED_TARGETS + 1);
-        others.retain(|other| !Arc::ptr_eq(other, target));
-        // With no other target there is nothing to compare with.
-        others.is_empty() || join_all(others.iter().map(can_be_reached)).await.contains(&true)
-    }
-
     fn check_reach_if_due(self: &Arc<Self>) {
         if lock(&self.reach).start_check(now()) {
             tokio::spawn(Arc::clone(self).check_reach());
@@ -102,9 +91,9 @@
     /// Tries to connect to some targets and draws the conclusion.
     async fn check_reach(self: Arc<Self>) {
         let targets = self.targets.load().sample(CHECKED_TARGETS);
-        let reached = join_all(targets.iter().map(can_be_reached)).await;
+        let reached = join_all(targets.iter().map(connect_outcome)).await;
         // A host without targets has nothing to be partitioned from.
-        let has_reached = targets.is_empty() || reached.contains(&true);
+        let has_reached = targets.is_empty() || reached.contains(&ConnectOutcome::Opened);
         let (change, failed, answer_age) = {
             let mut reach = lock(&self.reach);
             let failed = reach.failed_targets();
@@ -131,10 +120,14 @@
     }
 }
 
-async fn can_be_reached(target: &Arc<Target>) -> bool {
-    let Some(connection) = Connection::open(target).await else { return false };
+/// Tries to connect to a target; a connection that does not last counts as silence.
+pub(super) async fn connect_outcome(target: &Arc<Target>) -> ConnectOutcome {
+    let connection = match Connection::try_open(target).await {
+        Ok(connection) => connection,
+        Err(outcome) => return outcome,
+    };
     tokio::time::sleep(CHECKED_CONNECTION_TIME).await;
     let is_open = !connection.sender.is_closed();
     connection.keep(target);
-    is_open
+    if is_open { ConnectOutcome::Opened } else { ConnectOutcome::Silent }
 }
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -124,6 +124,7 @@
             return ExchangeResult::NotSent;
         };
         connection.allowance.set(HEAD_BYTES_MAX);
+        req.sent_to.add(target.replica.address);
         let message = message(core, target, req, options.end_at);
         let res = match connection.sender.try_send_request(message).await {
             Ok(res) => res,
--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -260,6 +260,7 @@
     /// in force, or which hosts reach the targets, so that it should be pushed on.
     pub(crate) fn merge_message(&mut self, now: Instant, message: GossipMessage) -> bool {
         let mut has_changed = false;
+        self.core.note_peer(now);
         for member in &message.members {
             let reached_targets = self.membership.reaches_targets(member.address);
             if self.membership.merge(now, member) {
--- a/crates/front/src/gather_server.rs
+++ b/crates/front/src/gather_server.rs
@@ -37,6 +37,7 @@
     gather_call::{GatherCall, GatherReply},
     gather_frames::{Framed, encode_frame},
     gather_options::GatherOptions,
+    sent_to::SentTo,
 };
 
 /// The limit of another host's message, in bytes: a caller's body and headers fit.
@@ -238,6 +239,7 @@
             is_new_connection: false,
             deadline: Duration::from_millis(self.deadline_ms),
             fingerprint: fingerprint_of(&uri, self.body),
+            sent_to: SentTo::default(),
             uri,
         })
     }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -59,6 +59,7 @@
 mod reply;
 mod retry_after;
 mod route_latency;
+mod sent_to;
 mod store;
 mod store_cursor;
 mod store_reader;
--- a/crates/front/src/target.rs
+++ b/crates/front/src/target.rs
@@ -42,6 +42,15 @@
     pub(crate) idle_connections: Vec<Connection>,
     /// Connections of this host to the target that are open or being opened, idle ones included.
     pub(crate) open_connections: usize,
+    /// Since when no connection to the target could be opened; `None` if the last attempt succeeded.
+    pub(crate) unreachable_since: Option<Instant>,
+}
+
+impl TargetState {
+    /// Records whether a connection could be opened.
+    pub(crate) fn record_reached(&mut self, now: Instant, is_reached: bool) {
+        self.unreachable_since = (!is_reached).then(|| self.unreachable_since.unwrap_or(now));
+    }
 }
 
 impl Target {
@@ -50,8 +59,14 @@
         let load = TargetLoad::new(replica.slots);
         let warm_up = TargetWarmUp::new(now, &replica);
         let idle_connections = Vec::new();
-        let state =
-            Mutex::new(TargetState { load, warm_up, limit: None, idle_connections, open_connections: 0 });
+        let state = Mutex::new(TargetState {
+            load,
+            warm_up,
+            limit: None,
+            idle_connections,
+            open_connections: 0,
+            unreachable_since: None,
+        });
         Self {
             replica,
             is_local,
--- a/crates/front/src/target_set.rs
+++ b/crates/front/src/target_set.rs
@@ -175,14 +175,21 @@
     /// Forgets the failures of all targets.
     pub(crate) fn forget_failures(&self) {
         for target in self.services.iter().flat_map(|entry| &entry.targets) {
-            target.state().load.forget_failures();
+            let mut state = target.state();
+            state.load.forget_failures();
+            // What could not be reached over this host's cut links may not have been down.
+            state.unreachable_since = None;
         }
     }
 
+    /// Returns the targets of all services.
+    pub(crate) fn all(&self) -> impl Iterator<Item = &Arc<Target>> {
+        self.services.iter().flat_map(|entry| &entry.targets)
+    }
+
     /// Draws at most `max` random targets.
     pub(crate) fn sample(&self, max: usize) -> Vec<Arc<Target>> {
-        let all = self.services.iter().flat_map(|entry| &entry.targets);
-        fastrand::choose_multiple(all.filter(|target| !target.is_retired()).cloned(), max)
+        fastrand::choose_multiple(self.all().filter(|target| !target.is_retired()).cloned(), max)
     }
 
     /// Returns the names of the services with targets, sorted.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -34,6 +34,7 @@
 //! - [`owner_candidates`]: the relays that may own a block's connections.
 //! - [`choose_snapshot`]: the one snapshot that a query is answered from.
 //! - [`TargetReach`]: whether this host reaches any target.
+//! - [`CrashEvidence`]: whether a request crashed the target on which its connection broke.
 //! - [`Contention`]: services that recently refused work for lack of slots.
 //! - [`RelayHealth`], [`PauseDetector`]: which relays are down, and whether this process paused.
 //! - [`GatherProgress`], [`choose_shards`]: hedges, early answers and skipped shards of a gather.
@@ -50,6 +51,7 @@
 mod block_owners;
 mod caller_budgets;
 mod contention;
+mod crash_evidence;
 mod dispatcher;
 mod drain_signal;
 mod gather_progress;
@@ -81,6 +83,7 @@
 pub use block_owners::{OWNER_CANDIDATES, RelayHost, owner_candidates};
 pub use caller_budgets::CallerBudgets;
 pub use contention::Contention;
+pub use crash_evidence::{ConnectOutcome, CrashEvidence};
 pub use dispatcher::{Dispatcher, Limits};
 pub use drain_signal::DrainSignal;
 pub use gather_progress::{GatherLimits, GatherProgress, GatherStep};
