Clear the mark of a request that is answered completely

Marks of crashing requests last for as long as the request keeps coming. Targets that crash for another reason break the connections of innocent requests, and two such crashes within a minute made a request that comes often poison, now for good.

Change: a complete answer (of a gather, by all shards) clears the mark as a successful probe does, at all hosts. Hosts count failed probes of other hosts, so that the bound of three holds where the host that probes changes.

Measured: policy/tests/suspects.rs, two new tests; each fails with its change taken out (4 of 4 hosts refuse the request; 4 probes instead of 1). crashing_returns, crashing_all, answers and merged pass.

--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -191,6 +191,7 @@
     }
     let mut result = fan_out(core, req, route, std::slice::from_ref(service), options, None).await;
     if let Some(answer) = result.parts[0].take() {
+        core.suspects().record_answer(now(), req.fingerprint);
         return reply::relayed(answer, &core.options.headers);
     }
     let detail = format!("route {} failed after {} ms: {}", route.name, elapsed_ms(req), result.summary());
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -63,6 +63,9 @@
         req.log(Code::RequestFailed, "the receipts of a gather are no valid header values, or too few");
         return reply::refused(StatusCode::BAD_GATEWAY, "the answer was damaged on its way: try again", None);
     }
+    if missing == 0 {
+        core.suspects().record_answer(now(), req.fingerprint);
+    }
     let mut reply = reply::gathered(req, &core.options.headers, &receipts, missing, outcome.records);
     if let Some(due_at) = due_at {
         reply.extensions_mut().insert(DueAt(due_at));
--- a/crates/policy/src/suspects.rs
+++ b/crates/policy/src/suspects.rs
@@ -280,8 +280,12 @@
         let is_live = now < known.until;
         let known_breaks = if is_live || known.is_dormant(now, self.memory) { known.breaks } else { 0 };
         if breaks > known_breaks {
-            let Entry { probed_at, failed_probes, until, .. } = *known;
-            *known = Entry { until: entry.until.max(until), probed_at, failed_probes, ..entry };
+            // A break so long after the last one is that of a probe: nobody else sends the request.
+            let is_probe =
+                known_breaks >= POISON_BREAK_COUNT && entry.happened_at > known.happened_at + MARK_TTL / 2;
+            let failed_probes = (known.failed_probes + u32::from(is_probe)).min(FAILED_PROBES_MAX);
+            let probed_at = if is_probe { Some(entry.happened_at) } else { known.probed_at };
+            *known = Entry { until: entry.until.max(known.until), probed_at, failed_probes, ..entry };
         } else if !self.memory.is_zero() && breaks >= POISON_BREAK_COUNT {
             let extended_from = if is_live { known.until + EXTENSION_MIN } else { now };
             if entry.until > extended_from {
@@ -290,6 +294,15 @@
         }
     }
 
+    /// Records that targets answered a request completely. A request that crashes the targets that run it is never answered, so a mark
+    /// that it has is of crashes that it happened to be present at.
+    pub fn record_answer(&mut self, now: Instant, fingerprint: Fingerprint) {
+        let is_marked = self.find(fingerprint).is_ok_and(|at| self.marks[at].breaks > 0);
+        if is_marked {
+            self.absolve(now, fingerprint);
+        }
+    }
+
     fn insert(&mut self, now: Instant, entry: Entry) {
         let fingerprint = entry.fingerprint;
         match self.find(fingerprint) {
--- a/crates/policy/tests/suspects.rs
+++ b/crates/policy/tests/suspects.rs
@@ -188,3 +188,42 @@
     sent.dedup();
     assert_eq!(sent.len(), 100);
 }
+
+/// Targets that crash for another reason break the connections of requests that come often; two such crashes within a minute
+/// must not make a request poison that is answered in between.
+#[test]
+fn a_request_that_is_answered_between_two_crashes_is_not_refused() {
+    let mut fleet = Fleet::new(4);
+    for host in 0..4 {
+        fleet.hosts[host].record_break(fleet.now, BAD, true);
+        fleet.pass(secs(5.0));
+        let answering = (host + 1) % 4;
+        fleet.hosts[answering].record_answer(fleet.now, BAD);
+        fleet.pass(secs(5.0));
+    }
+    let verdicts: Vec<SuspectVerdict> = (0..4).map(|host| fleet.judge(host)).collect();
+    assert_eq!(verdicts, vec![SuspectVerdict::Run; 4]);
+}
+
+/// The host that probes disappears after its probe failed, so that another one takes over.
+#[test]
+fn probes_that_failed_count_at_the_host_that_probes_next() {
+    let mut fleet = Fleet::new(4);
+    fleet.arrivals(secs(0.15), secs(10.0), true);
+    let mut probes = 0;
+    for _ in 0..4 {
+        fleet.pass(MARK_TTL + secs(30.0));
+        let prober = suspect_prober(BAD, &fleet.addresses);
+        let prober = fleet.addresses.iter().position(|address| Some(*address) == prober).unwrap();
+        if fleet.judge(prober) == SuspectVerdict::Probe {
+            probes += 1;
+            fleet.hosts[prober].record_break(fleet.now, BAD, true);
+            fleet.pass(secs(20.0));
+        }
+        if fleet.hosts.len() > 1 {
+            fleet.hosts.remove(prober);
+            fleet.addresses.remove(prober);
+        }
+    }
+    assert_eq!(probes, 1, "within eight minutes");
+}
