Keep requests within the homes of their route and caller

Cause: nothing decoded `allowed_regions`, so requests with homes reached targets and gatherers in any region.

Change: `routes::Homes` and `RegionMap` say which regions a request may reach and where a data centre lies; `Core::targets_within` and `gatherers_within` give each choice the part of the targets and hosts that the request may use. Route and caller both apply, and without a region in common the request is refused with 503. Gatherers apply the homes of their own configuration, and the fingerprint of a plan includes them, so a gatherer that knows other homes refuses the call. The form of the callers' homes is assumed. The layout of gossip is 3.

--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -41,6 +41,8 @@
 const RETRY_AFTER_JITTER: f64 = 0.4;
 /// The `Retry-After` of a request that crashed targets, in seconds.
 const RETRY_AFTER_POISON: f64 = 30.0;
+/// The `Retry-After` of a request that may be served in no region, in seconds.
+const RETRY_AFTER_NO_HOME: f64 = 30.0;
 
 /// Answers a caller's request.
 pub(crate) async fn answer(core: Arc<Core>, req: Request<Incoming>, arrival: Arrival) -> CallerReply {
@@ -55,7 +57,10 @@
             Some(RETRY_AFTER_NO_TABLE),
         ),
         Some(table) => match CallerRequest::read(req, &core.options.headers, table.limits(), arrival).await {
-            Ok(req) => {
+            Ok(mut req) => {
+                if table.has_homes() {
+                    req.homes = core.homes_of(&table, table.find(&req.host, req.path()), &req);
+                }
                 let req = Arc::new(req);
                 tokio::select! {
                     reply = route(&core, &table, Arc::clone(&req)) => reply,
@@ -83,6 +88,9 @@
     let Some(route) = table.find(&req.host, req.path()) else {
         return no_route(core, table, &req);
     };
+    if req.homes.is_nowhere() {
+        return no_home(&req, route);
+    }
     if core.suspects().is_poison(now(), req.fingerprint) {
         req.log(Code::RequestRefused, "the request crashed targets before; it is not sent to any");
         let reason = "the request crashed the targets that ran it: change it";
@@ -116,6 +124,13 @@
     reply::refused(StatusCode::SERVICE_UNAVAILABLE, reason, Some(jittered(RETRY_AFTER_NO_TARGET)))
 }
 
+/// Refuses a request whose route and caller have no home in common; only another configuration helps.
+fn no_home(req: &CallerRequest, route: &Route) -> CallerReply {
+    req.log(Code::RequestRefused, &format!("route {} and the caller have no region in common", route.name));
+    let reason = "the route and the caller have no region in common: change the regions of one";
+    reply::refused(StatusCode::SERVICE_UNAVAILABLE, reason, Some(RETRY_AFTER_NO_HOME))
+}
+
 /// Answers a request that is still in flight when the process has to exit.
 fn unfinished(req: &CallerRequest) -> CallerReply {
     req.log(Code::RequestFailed, "this host shuts down, and no target has answered yet");
--- a/crates/front/src/caller_request.rs
+++ b/crates/front/src/caller_request.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use egret_events::{Code, log_request_event};
 use egret_model::Fingerprint;
-use egret_routes::CallerLimits;
+use egret_routes::{CallerLimits, Homes};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     HeaderMap, Method, Request, Uri, Version,
@@ -43,6 +43,8 @@
     pub(crate) deadline: Duration,
     /// Identifies equal requests, so that one that crashes targets is recognised.
     pub(crate) fingerprint: Fingerprint,
+    /// The regions in which the request must stay.
+    pub(crate) homes: Homes,
 }
 
 /// Why a request could not be read. The names of the variants appear in log details.
@@ -102,6 +104,7 @@
             is_new_connection: arrival.is_new_connection,
             deadline,
             fingerprint,
+            homes: Homes::default(),
         })
     }
 
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -2,6 +2,7 @@
 
 mod answer_timing;
 mod extra_attempts;
+mod homes;
 mod reach;
 
 use std::{
@@ -25,6 +26,7 @@
     caller_request::CallerRequest,
     clock::now,
     connection::Connection,
+    home_views::HomeViews,
     instruments::Instruments,
     limit_sharers::LimitSharers,
     route_latency::RouteLatency,
@@ -69,6 +71,8 @@
     pub(crate) instruments: Instruments,
     /// The other hosts that gather, as targets of services named after their data centres.
     pub(crate) gatherers: ArcSwap<TargetSet>,
+    /// The targets and the gatherers within the homes of requests.
+    home_views: Mutex<(HomeViews, HomeViews)>,
     hosts: AtomicUsize,
     evacuated: AtomicUsize,
     gatherer_count: AtomicUsize,
@@ -111,6 +115,7 @@
             suspects: Mutex::default(),
             instruments: Instruments::open(),
             gatherers: ArcSwap::default(),
+            home_views: Mutex::default(),
             hosts: AtomicUsize::new(1),
             evacuated: AtomicUsize::new(0),
             gatherer_count: AtomicUsize::new(0),
--- a/crates/front/src/delegate.rs
+++ b/crates/front/src/delegate.rs
@@ -9,7 +9,7 @@
 use derive_more::Display;
 use egret_events::Code;
 use egret_policy::ExchangeEnd;
-use egret_routes::{Backend, GatherPlan, Route};
+use egret_routes::{Backend, GatherPlan, Homes, Route};
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode, body::Incoming};
 
@@ -100,7 +100,7 @@
     req: &Arc<CallerRequest>,
     answer_at: Instant,
 ) -> Delegation {
-    let near = data_centres(core, plan);
+    let near = data_centres(core, plan, &req.homes);
     let own = &core.options.data_centre;
     if !core.is_enabled(Mechanism::Gatherers) || core.is_gatherer() && near.contains(own) {
         return Delegation::Local { is_repeat: false };
@@ -118,7 +118,7 @@
     req: &Arc<CallerRequest>,
     options: GatherOptions,
 ) -> Delegation {
-    let near = data_centres(core, plan);
+    let near = data_centres(core, plan, &req.homes);
     delegate_to(core, route, plan, req, options, &near).await
 }
 
@@ -135,7 +135,7 @@
     let mut tried = Vec::new();
     let mut failures = 0;
     while failures < GATHERERS_MAX && tried.len() < GATHERERS_ASKED_MAX {
-        let Some(gatherer) = pick_gatherer(core, near, &tried) else { break };
+        let Some(gatherer) = pick_gatherer(core, near, &tried, &req.homes) else { break };
         tried.push(Arc::clone(&gatherer.replica.id));
         let sent_at = now();
         let message = message(route, plan, req, None, GatherOptions { is_repeat, answer_at });
@@ -163,7 +163,7 @@
                 req.log(Code::GathererFailed, &detail);
                 is_repeat |= error.may_have_run();
                 failures += usize::from(error != DelegateError::NoTargets);
-                if error == DelegateError::Broken && has_spare_replicas(core, route, plan) {
+                if error == DelegateError::Broken && has_spare_replicas(core, route, plan, &req.homes) {
                     let reply = GatherReply { may_have_run: true, ..GatherReply::not_run() };
                     return Delegation::Done { reply, ready_at: None };
                 }
@@ -175,8 +175,13 @@
 
 /// Picks a gatherer that was not tried: of the own data centre if that is `near` the targets, of
 /// another one that is, or else of any if this host reaches no target.
-pub(crate) fn pick_gatherer(core: &Core, near: &[Arc<str>], tried: &[Arc<str>]) -> Option<Arc<Target>> {
-    let gatherers = core.gatherers.load();
+pub(crate) fn pick_gatherer(
+    core: &Core,
+    near: &[Arc<str>],
+    tried: &[Arc<str>],
+    homes: &Homes,
+) -> Option<Arc<Target>> {
+    let gatherers = core.gatherers_within(homes);
     let pick = |names: &[&str]| gatherers.pick(now(), names, tried, PickFilter::NotEjected);
     let own = &core.options.data_centre;
     let nearest = near.contains(own).then(|| pick(&[own])).flatten();
@@ -190,14 +195,14 @@
 ///
 /// Which of them a lost gatherer sent the request to is not known, so this host must not send it
 /// to more of them; the caller may retry.
-pub(crate) fn has_spare_replicas(core: &Core, route: &Route, plan: &GatherPlan) -> bool {
-    let targets = core.targets.load();
+pub(crate) fn has_spare_replicas(core: &Core, route: &Route, plan: &GatherPlan, homes: &Homes) -> bool {
+    let targets = core.targets_within(homes);
     plan.shards.iter().any(|shard| targets.targets_of(shard).len() > route.attempts_max as usize)
 }
 
 /// Returns the data centres that have the most targets of a plan's shards, sorted.
-fn data_centres(core: &Core, plan: &GatherPlan) -> Vec<Arc<str>> {
-    let targets = core.targets.load();
+fn data_centres(core: &Core, plan: &GatherPlan, homes: &Homes) -> Vec<Arc<str>> {
+    let targets = core.targets_within(homes);
     let mut counts: Vec<(Arc<str>, usize)> = Vec::new();
     for shard in &plan.shards {
         for target in targets.targets_of(shard) {
@@ -300,7 +305,7 @@
 ) -> Bytes {
     let call = GatherCall {
         route: Arc::clone(&route.name),
-        plan: plan.fingerprint(),
+        plan: plan.fingerprint_within(&req.homes),
         method: req.method.as_str().to_owned(),
         path: req.path().to_owned(),
         headers: encode_headers(&req.headers),
--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -9,6 +9,7 @@
     time::{Duration, Instant},
 };
 
+use arc_swap::Guard;
 use egret_policy::{GatherLimits, GatherProgress, GatherStep};
 use egret_routes::{Backend, Route};
 use futures_util::{FutureExt, StreamExt, stream::FuturesUnordered};
@@ -21,7 +22,7 @@
 };
 use crate::{
     Mechanism, caller_request::CallerRequest, clock::now, core::Core, fan_out_options::FanOutOptions,
-    fan_out_result::FanOutResult, parts_sender::PartsSender,
+    fan_out_result::FanOutResult, parts_sender::PartsSender, target_set::TargetSet,
 };
 
 /// How often skipped services are checked for a target that can take the request now.
@@ -204,6 +205,11 @@
 }
 
 impl FanOut<'_> {
+    /// Returns the targets to which the request may be sent.
+    fn targets(&self) -> Guard<Arc<TargetSet>> {
+        self.core.targets_within(&self.req.homes)
+    }
+
     fn finish(mut self, is_running: bool) -> FanOutResult {
         // A target may be running an attempt that has not ended.
         self.result.may_have_run |= is_running;
--- a/crates/front/src/fan_out/attempts.rs
+++ b/crates/front/src/fan_out/attempts.rs
@@ -34,10 +34,10 @@
     /// Returns `None` where no untried target can take it, or the budget does not allow it.
     pub(super) fn next_attempt(&mut self, shard: usize) -> Option<NextAttempt> {
         let service = &self.services[shard];
-        let target = self.core.targets.load().pick(now(), &[service], &self.tried[shard], PickFilter::Any);
+        let target = self.targets().pick(now(), &[service], &self.tried[shard], PickFilter::Any);
         let Some(target) = target else {
             self.result.without_target += u32::from(self.delivered[shard] == 0);
-            let backoff_left = self.core.targets.load().backoff_left(now(), service);
+            let backoff_left = self.targets().backoff_left(now(), service);
             self.result.backoff_left =
                 self.result.backoff_left.max(Some(backoff_left).filter(|time| !time.is_zero()));
             self.progress.abandon_shard(shard);
@@ -67,7 +67,7 @@
         let affordable =
             left.max(self.options.typical_latency).div_duration_f64(self.options.typical_latency);
         let filter = PickFilter::MaxCost(affordable);
-        let target = self.core.targets.load().pick(now_at, &[service], &self.tried[shard], filter);
+        let target = self.targets().pick(now_at, &[service], &self.tried[shard], filter);
         let Some(target) = target else {
             self.result.hedges_without_target += 1;
             return None;
--- a/crates/front/src/fan_out/remote_gatherers.rs
+++ b/crates/front/src/fan_out/remote_gatherers.rs
@@ -49,12 +49,12 @@
         if !self.options.may_use_remote_gatherers || !self.core.is_enabled(Mechanism::RemoteMerging) {
             return Vec::new();
         }
-        let targets = self.core.targets.load();
+        let targets = self.targets();
         let names = targets.data_centres();
         let holders: Vec<Vec<usize>> =
             self.services.iter().map(|service| targets.data_centres_of(service, &names)).collect();
         let own = names.iter().position(|name| **name == *self.core.options.data_centre);
-        let gatherers = self.core.gatherers.load();
+        let gatherers = self.core.gatherers_within(&self.req.homes);
         let mut found = Vec::new();
         for RemoteShardGroup { data_centre, mut shards } in
             group_remote_shards(&holders, own, fastrand::u64(..))
@@ -148,7 +148,7 @@
                 continue;
             }
             self.progress.undo_sent(shard);
-            let replicas = self.core.targets.load().targets_of(&self.services[shard]).len();
+            let replicas = self.targets().targets_of(&self.services[shard]).len();
             if may_have_run && replicas > self.options.limits.attempts_max {
                 self.progress.abandon_shard(shard);
             } else {
--- a/crates/front/src/fan_out/skipped.rs
+++ b/crates/front/src/fan_out/skipped.rs
@@ -36,7 +36,7 @@
         if self.services.len() <= 1 {
             return Ok(());
         }
-        let targets = self.core.targets.load();
+        let targets = self.targets();
         let now = now();
         let own = &self.core.options.data_centre;
         let estimate = |service: &Arc<str>| {
@@ -80,7 +80,7 @@
     fn describe_overload(&self, now: Instant, estimates: &[ShardEstimate]) -> String {
         let count =
             |is_meant: &dyn Fn(usize) -> bool| (0..estimates.len()).filter(|at| is_meant(*at)).count();
-        let targets = self.core.targets.load();
+        let targets = self.targets();
         let without_target = count(&|at| estimates[at].expected_latency.is_none());
         let ejected = count(&|at| targets.are_all_ejected(now, &self.services[at]));
         let reported = count(&|at| self.core.has_remote_overload(now, &self.services[at]));
@@ -116,7 +116,7 @@
         }
         let now = now();
         let until_objective = self.options.limits.objective_at.saturating_duration_since(now);
-        let targets = self.core.targets.load_full();
+        let targets = self.targets();
         let can_readmit = |shard: &usize| {
             let estimate = targets.estimate(now, &self.services[*shard], self.options.typical_latency);
             if !estimate.backoff_left.is_zero() {
@@ -150,7 +150,7 @@
         let GatherLimits { objective_at, deadline, .. } = self.options.limits;
         let until = objective_at + deadline.saturating_duration_since(objective_at) / 2;
         let now = now();
-        let targets = self.core.targets.load();
+        let targets = self.targets();
         let is_out_of_backoff =
             |shard: &&usize| now + targets.backoff_left(now, &self.services[**shard]) < until;
         let possible = self.skipped.iter().filter(is_out_of_backoff).count();
--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -45,7 +45,7 @@
     let near = [Arc::clone(&core.options.data_centre)];
     let mut tried = Vec::new();
     while tried.len() < GATHERERS_ASKED_MAX {
-        let gatherer = pick_gatherer(core, &near, &tried)?;
+        let gatherer = pick_gatherer(core, &near, &tried, &req.homes)?;
         tried.push(Arc::clone(&gatherer.replica.id));
         let message = egret_wire::encode_compact(&message(route, service, req, options));
         let called = call(Arc::clone(&gatherer), FORWARD_PATH, route, message.into()).await;
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -97,7 +97,7 @@
         );
     }
     let reply = run_gather(core, route, plan, req, options).await;
-    if let Some(is_repeat) = should_gather_elsewhere(core, route, plan, options, &reply) {
+    if let Some(is_repeat) = should_gather_elsewhere(core, route, plan, req, options, &reply) {
         match delegate_elsewhere(core, route, plan, req, GatherOptions { is_repeat, answer_at }).await {
             Delegation::Done { reply, ready_at } => {
                 core.instruments.gather("other");
@@ -119,6 +119,7 @@
     core: &Core,
     route: &Route,
     plan: &GatherPlan,
+    req: &CallerRequest,
     options: GatherOptions,
     reply: &GatherReply,
 ) -> Option<bool> {
@@ -129,7 +130,7 @@
     }
     // This host lost the targets after it had sent the request to some of them.
     let has_failed = !reply.is_enough && core.is_partitioned();
-    (has_failed && !has_spare_replicas(core, route, plan)).then_some(may_have_run)
+    (has_failed && !has_spare_replicas(core, route, plan, &req.homes)).then_some(may_have_run)
 }
 
 /// Gathers the parts of all shards from this host, some of them through remote gatherers.
--- a/crates/front/src/gather_server.rs
+++ b/crates/front/src/gather_server.rs
@@ -7,7 +7,7 @@
 };
 
 use bytes::Bytes;
-use egret_routes::{Backend, GatherPlan, Route, RouteTable};
+use egret_routes::{Backend, GatherPlan, Homes, Route, RouteTable};
 use futures_util::stream;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited, StreamBody, combinators::UnsyncBoxBody};
 use hyper::{
@@ -95,14 +95,16 @@
 }
 
 async fn respond_to_gather(core: Arc<Core>, arrived_at: Instant, body: &[u8]) -> GatherResponse {
-    let Some((call, req)) = decode::<GatherCall>(&core, body) else { return unreadable() };
-    let Some(table) = core.table.load_full().filter(|table| find(table, &call).is_some()) else {
+    let Some((call, mut req)) = decode::<GatherCall>(&core, body) else { return unreadable() };
+    set_homes(&core, &call.route, &mut req);
+    let is_same = |table: &Arc<RouteTable>| find(table, &call, &req.homes).is_some();
+    let Some(table) = core.table.load_full().filter(is_same) else {
         return other_configuration();
     };
     see_closed_connection().await;
     let (tx, rx) = mpsc::unbounded_channel();
     let task = tokio::spawn(async move {
-        if let Some((route, plan)) = find(&table, &call) {
+        if let Some((route, plan)) = find(&table, &call, &req.homes) {
             let answer_at = arrived_at + Duration::from_micros(call.answer_in_us);
             let options = GatherOptions { is_repeat: call.is_repeat, answer_at };
             let reply = gather(&core, route, plan, &call, req, options, tx.clone()).await;
@@ -115,7 +117,8 @@
 }
 
 async fn respond_to_forward(core: Arc<Core>, arrived_at: Instant, body: &[u8]) -> GatherResponse {
-    let Some((call, req)) = decode::<ForwardCall>(&core, body) else { return unreadable() };
+    let Some((call, mut req)) = decode::<ForwardCall>(&core, body) else { return unreadable() };
+    set_homes(&core, &call.route, &mut req);
     let Some(table) = core.table.load_full().filter(|table| find_route(table, &call).is_some()) else {
         return other_configuration();
     };
@@ -181,10 +184,18 @@
     }
 }
 
-fn find<'a>(table: &'a RouteTable, call: &GatherCall) -> Option<(&'a Route, &'a GatherPlan)> {
+/// Sets the homes of another host's request by the configuration in force here.
+fn set_homes(core: &Core, route: &str, req: &mut CallerRequest) {
+    if let Some(table) = core.table.load().as_deref().filter(|table| table.has_homes()) {
+        req.homes = core.homes_of(table, table.find_by_name(route), req);
+    }
+}
+
+/// Returns the route and the plan of a call, if plan and homes of the request are the same here.
+fn find<'a>(table: &'a RouteTable, call: &GatherCall, homes: &Homes) -> Option<(&'a Route, &'a GatherPlan)> {
     let route = table.find_by_name(&call.route)?;
     match &route.backend {
-        Backend::Gather(plan) if plan.fingerprint() == call.plan => Some((route, plan)),
+        Backend::Gather(plan) if plan.fingerprint_within(homes) == call.plan => Some((route, plan)),
         _ => None,
     }
 }
@@ -238,6 +249,7 @@
             is_new_connection: false,
             deadline: Duration::from_millis(self.deadline_ms),
             fingerprint: fingerprint_of(&uri, self.body),
+            homes: Homes::default(),
             uri,
         })
     }
--- a/crates/front/src/header_names.rs
+++ b/crates/front/src/header_names.rs
@@ -25,6 +25,8 @@
     pub part_receipts: HeaderName,
     /// The number of shards that are missing from a gathered answer.
     pub missing_parts: HeaderName,
+    /// The name of the client account that sends the request.
+    pub caller: HeaderName,
 }
 
 /// Hop-by-hop headers: they concern one connection and are not passed on.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -48,6 +48,7 @@
 mod gather_server;
 mod gossip;
 mod header_names;
+mod home_views;
 mod instruments;
 mod limit_sharers;
 mod listener;
--- a/crates/front/src/options.rs
+++ b/crates/front/src/options.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use egret_policy::{RetryLimits, WarmUpLimits};
+use egret_routes::RegionMap;
 
 use crate::{DisabledMechanisms, HeaderNames};
 
@@ -13,6 +14,8 @@
     pub host: Arc<str>,
     /// The host's data centre.
     pub data_centre: Arc<str>,
+    /// The regions of data centres, for requests that must stay in some regions.
+    pub regions: RegionMap,
     /// The address on which callers connect.
     pub callers: SocketAddr,
     /// The address of the load balancer's readiness checks.
--- a/crates/front/src/target_set.rs
+++ b/crates/front/src/target_set.rs
@@ -159,6 +159,17 @@
         }
     }
 
+    /// Returns the targets in some data centres.
+    pub(crate) fn in_data_centres(&self, is_wanted: impl Fn(&str) -> bool) -> Self {
+        let mut wanted = Self::default();
+        for target in self.services.iter().flat_map(|entry| &entry.targets) {
+            if is_wanted(&target.replica.data_centre) {
+                wanted.add(Arc::clone(target));
+            }
+        }
+        wanted
+    }
+
     /// Returns the totals over all targets.
     pub(crate) fn totals(&self, now: Instant) -> TargetTotals {
         let mut sum = TargetTotals::default();
--- a/crates/members/src/gossip_message.rs
+++ b/crates/members/src/gossip_message.rs
@@ -11,7 +11,7 @@
 ///
 /// Without field names, a message is read by position and only by builds with the same fields. Raise
 /// this with each change of the fields; those that are added need a default. See docs/DESIGN.md.
-pub const COMPACT_LAYOUT: u32 = 2;
+pub const COMPACT_LAYOUT: u32 = 3;
 
 record! {
     /// The request and the reply of a gossip exchange.
--- a/crates/members/tests/layout.rs
+++ b/crates/members/tests/layout.rs
@@ -3,8 +3,8 @@
 use egret_members::{COMPACT_LAYOUT, GossipMessage, Member};
 use egret_model::{Fingerprint, SuspectMark, Version};
 use egret_routes::{
-    Backend, CallerLimits, EvacuationChange, Evacuations, GatherPlan, RegistryDelta, RegistryEntry, Replica,
-    ReplicaRun, Route, RouteTable, Service, StorePosition, WarmUp,
+    Backend, CallerHomes, CallerLimits, EvacuationChange, Evacuations, GatherPlan, Homes, RegistryDelta,
+    RegistryEntry, Replica, ReplicaRun, Route, RouteTable, Service, StorePosition, WarmUp,
 };
 use serde_json::{Value, json};
 
@@ -24,6 +24,7 @@
         priority: 33,
         attempts_max: 34,
         backend: Backend::Gather(plan),
+        homes: Homes::new(vec!["x".into()]),
     };
     let service = Service {
         name: "s".into(),
@@ -33,7 +34,8 @@
     };
     let limits =
         CallerLimits { header_bytes: 37, body_bytes: 38, header_timeout_ms: 39, idle_timeout_ms: 40 };
-    RouteTable::new(Version(41), vec![route], vec![service], limits)
+    let caller = CallerHomes { name: "c".into(), homes: Homes::new(vec!["y".into()]) };
+    RouteTable::new(Version(41), vec![route], vec![service], limits).with_callers(vec![caller])
 }
 
 fn replica() -> Replica {
@@ -81,9 +83,9 @@
 fn a_change_of_the_layout_of_messages_raises_its_number() {
     let bytes = egret_wire::encode_compact(&message());
     let fields: Value = egret_wire::decode(&bytes).unwrap();
-    let layout_2 = json!([
+    let layout_3 = json!([
         10,
-        [[{"V4": [[127, 0, 0, 1], 11]}, "d", 12, "live", true, 0, 0, 2, true]],
+        [[{"V4": [[127, 0, 0, 1], 11]}, "d", 12, "live", true, 0, 0, 3, true]],
         13,
         [1, 14],
         [1, 15],
@@ -91,9 +93,10 @@
         [["0000000000000016", 23, 24, 25]],
         [
             41,
-            [["r", "h", "/p/", true, 31, 32, 33, 34, {"Gather": [["s"], 30, 0.5]}]],
+            [["r", "h", "/p/", true, 31, 32, 33, 34, {"Gather": [["s"], 30, 0.5]}, ["x"]]],
             [["s", "/h", 35, [0.25, 36]]],
-            [37, 38, 39, 40]
+            [37, 38, 39, 40],
+            [["c", ["y"]]]
         ],
         [
             [1, 27],
@@ -104,7 +107,7 @@
         [["i", 28]],
         [[1, 21], ["e"]]
     ]);
-    assert_eq!((fields, COMPACT_LAYOUT), (layout_2, 2), "another layout needs another number");
+    assert_eq!((fields, COMPACT_LAYOUT), (layout_3, 3), "another layout needs another number");
 }
 
 #[test]
--- a/crates/routes/src/gather_plan.rs
+++ b/crates/routes/src/gather_plan.rs
@@ -5,6 +5,8 @@
 use egret_model::{Fingerprint, record};
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::Homes;
+
 record! {
     /// The shards that a route scatters to, and what its merged answers need.
     pub struct GatherPlan {
@@ -24,6 +26,14 @@
     /// Hosts compare it to detect that they hold different versions of a plan.
     #[must_use]
     pub fn fingerprint(&self) -> Fingerprint {
+        self.fingerprint_within(&Homes::default())
+    }
+
+    /// Returns the hash of [`Self::fingerprint`] for a request with homes, which differs for other homes.
+    ///
+    /// A host whose configuration gives the request other homes detects it by this, and refuses.
+    #[must_use]
+    pub fn fingerprint_within(&self, homes: &Homes) -> Fingerprint {
         let mut hash = Xxh3::new();
         for shard in &self.shards {
             hash.update(shard.as_bytes());
@@ -31,6 +41,13 @@
         }
         hash.update(&self.top_k.to_le_bytes());
         hash.update(&self.least_share.to_le_bytes());
+        for region in homes.regions().into_iter().flatten() {
+            hash.update(region.as_bytes());
+            hash.update(&[0]);
+        }
+        if homes.is_nowhere() {
+            hash.update(&[0]);
+        }
         Fingerprint(hash.digest())
     }
 
--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -5,7 +5,7 @@
 //!
 //! ```
 //! use egret_model::Version;
-//! use egret_routes::{Backend, CallerLimits, Route, RouteTable};
+//! use egret_routes::{Backend, CallerLimits, Homes, Route, RouteTable};
 //!
 //! let route = |name: &str, prefix: &str| Route {
 //!     name: name.into(),
@@ -17,6 +17,7 @@
 //!     priority: 1,
 //!     attempts_max: 2,
 //!     backend: Backend::One("vault".into()),
+//!     homes: Homes::default(),
 //! };
 //! let routes = vec![route("all", "/"), route("logs", "/logs/")];
 //! let table = RouteTable::new(Version(1), routes, Vec::new(), CallerLimits::default());
@@ -26,18 +27,22 @@
 //!
 //! - [`Registry`]: the replicas that registered themselves, with the [`StorePosition`] of each change.
 //! - [`Evacuations`]: the data centres whose replicas must get no requests.
+//! - [`Homes`], [`RegionMap`]: the regions in which a request must stay, and those of data centres.
 //! - [`TopRecords`], [`merge_top_records`]: the merge of the parts of a gather.
 //!
 //! docs/PLATFORM.md describes how route tables and registry entries reach every host.
 
 mod backend;
+mod caller_homes;
 mod caller_limits;
 mod evacuation_change;
 mod evacuations;
 mod gather_plan;
 mod history_gaps;
+mod homes;
 mod leaving_runs;
 mod merge;
+mod region_map;
 mod registry;
 mod registry_delta;
 mod registry_entry;
@@ -53,11 +58,14 @@
 mod weighted_service;
 
 pub use backend::Backend;
+pub use caller_homes::CallerHomes;
 pub use caller_limits::CallerLimits;
 pub use evacuation_change::EvacuationChange;
 pub use evacuations::Evacuations;
 pub use gather_plan::GatherPlan;
+pub use homes::Homes;
 pub use merge::{RECORD_BYTES, merge_top_records};
+pub use region_map::RegionMap;
 pub use registry::Registry;
 pub use registry_delta::RegistryDelta;
 pub use registry_entry::RegistryEntry;
--- a/crates/routes/src/route.rs
+++ b/crates/routes/src/route.rs
@@ -4,7 +4,7 @@
 
 use egret_model::record;
 
-use crate::Backend;
+use crate::{Backend, Homes};
 
 record! {
     /// The rules for requests to one host under one path prefix.
@@ -28,5 +28,8 @@
         pub attempts_max: u32,
         /// The services that serve the requests.
         pub backend: Backend,
+        /// The regions in which the requests must stay.
+        #[serde(default)]
+        pub homes: Homes,
     }
 }
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -2,7 +2,7 @@
 
 use egret_model::{Version, record};
 
-use crate::{Backend, CallerLimits, Route, Service};
+use crate::{Backend, CallerHomes, CallerLimits, Homes, Route, Service};
 
 record! {
     /// One immutable version of the configuration.
@@ -13,6 +13,9 @@
         /// Sorted by name.
         services: Vec<Service>,
         limits: CallerLimits,
+        /// The client accounts with homes, sorted by name.
+        #[serde(default)]
+        callers: Vec<CallerHomes>,
     }
 }
 
@@ -27,7 +30,15 @@
     ) -> Self {
         routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
         services.sort_by(|a, b| a.name.cmp(&b.name));
-        Self { version, routes, services, limits }
+        Self { version, routes, services, limits, callers: Vec::new() }
+    }
+
+    /// Adds the homes of client accounts, in any order.
+    #[must_use]
+    pub fn with_callers(mut self, mut callers: Vec<CallerHomes>) -> Self {
+        callers.sort_by(|a, b| a.name.cmp(&b.name));
+        self.callers = callers;
+        self
     }
 
     /// Returns the version.
@@ -62,6 +73,20 @@
         self.routes.iter().find(|route| *route.name == *name)
     }
 
+    /// Returns whether any route or client account has homes.
+    #[must_use]
+    pub fn has_homes(&self) -> bool {
+        !self.callers.is_empty() || self.routes.iter().any(|route| !route.homes.is_unrestricted())
+    }
+
+    /// Returns the homes of a request on a route that names these client accounts.
+    pub fn homes<'a>(&self, route: &Route, callers: impl Iterator<Item = &'a str>) -> Homes {
+        let of_caller = |name: &'a str| self.callers.iter().filter(move |caller| *caller.name == *name);
+        callers
+            .flat_map(of_caller)
+            .fold(route.homes.clone(), |homes, caller| homes.intersection(&caller.homes))
+    }
+
     /// Returns all services, sorted by name.
     #[must_use]
     pub fn services(&self) -> &[Service] {
--- a/crates/routes/tests/routes.rs
+++ b/crates/routes/tests/routes.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use egret_model::Version;
-use egret_routes::{Backend, CallerLimits, GatherPlan, Route, RouteTable, merge_top_records};
+use egret_routes::{Backend, CallerLimits, GatherPlan, Homes, Route, RouteTable, merge_top_records};
 
 fn table(routes: &[(&str, &str)]) -> RouteTable {
     let route = |&(host, prefix): &(&str, &str)| Route {
@@ -15,6 +15,7 @@
         priority: 1,
         attempts_max: 2,
         backend: Backend::One("vault".into()),
+        homes: Homes::default(),
     };
     RouteTable::new(Version(1), routes.iter().map(route).collect(), Vec::new(), CallerLimits::default())
 }
