Replace configurations that an earlier build handed on without homes

Cause: a host of an earlier build decodes a configuration without its homes and gossips it under the same version.

Change: `RouteTable::states_homes` tells such a configuration apart. A host that has one states the version before it, so that others send theirs, reads the store after half a second, and takes the same version with homes.

--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -128,8 +128,10 @@
     /// configuration, a complete list of replicas, or the evacuations.
     pub(crate) fn position(&self) -> Option<StorePosition> {
         let synced = self.registry.synced();
-        let is_complete =
-            !synced.is_epoch_start() && self.table.is_some() && self.evacuations.as_of() >= synced;
+        let is_complete = !synced.is_epoch_start()
+            && self.table.is_some()
+            && !self.lacks_homes()
+            && self.evacuations.as_of() >= synced;
         is_complete.then_some(synced)
     }
 
@@ -144,9 +146,16 @@
         self.core.set_store_confirmed_at(self.store_confirmed_at);
     }
 
-    /// Puts a configuration in force if it is newer than the present one; returns whether it is.
+    /// Returns whether a build that knows no homes told this host the configuration in force.
+    fn lacks_homes(&self) -> bool {
+        self.table.as_ref().is_some_and(|table| !table.states_homes())
+    }
+
+    /// Puts a configuration in force if it is newer than the present one, or states the homes that the
+    /// present one lacks; returns whether it does.
     pub(crate) fn install_table(&mut self, table: Arc<RouteTable>) -> bool {
-        if self.version() >= table.version() {
+        let adds_homes = self.version() == table.version() && self.lacks_homes() && table.states_homes();
+        if self.version() >= table.version() && !adds_homes {
             return false;
         }
         log_event(Code::ConfigInForce, "", &format!("version {}", table.version()));
@@ -206,7 +215,7 @@
         GossipMessage {
             hosts: self.membership.live_count(now) as u32,
             members: self.membership.next_updates(),
-            version: self.version(),
+            version: self.stated_version(),
             synced: self.registry.synced(),
             changed: self.registry.last_change(),
             store_age_ms: self
@@ -289,7 +298,7 @@
             self.install_replicas(is_new);
             has_changed |= is_new;
         }
-        if self.is_behind(stated) {
+        if self.is_behind(stated) || self.lacks_homes() {
             self.behind_since.get_or_insert(now);
             return has_changed;
         }
@@ -301,6 +310,13 @@
         has_changed
     }
 
+    /// Returns the version that messages state: an earlier one while this host lacks the homes of its
+    /// configuration, so that other hosts send theirs.
+    fn stated_version(&self) -> Version {
+        let version = self.version();
+        if self.lacks_homes() { Version(version.0.saturating_sub(1)) } else { version }
+    }
+
     fn version(&self) -> Version {
         self.table.as_ref().map_or(Version(0), |table| table.version())
     }
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -13,9 +13,10 @@
         /// Sorted by name.
         services: Vec<Service>,
         limits: CallerLimits,
-        /// The client accounts with homes, sorted by name.
+        /// The client accounts with homes, sorted by name; `None` in a message of a build that knows no
+        /// homes, which leaves out those of routes, too.
         #[serde(default)]
-        callers: Vec<CallerHomes>,
+        callers: Option<Vec<CallerHomes>>,
     }
 }
 
@@ -30,14 +31,14 @@
     ) -> Self {
         routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
         services.sort_by(|a, b| a.name.cmp(&b.name));
-        Self { version, routes, services, limits, callers: Vec::new() }
+        Self { version, routes, services, limits, callers: Some(Vec::new()) }
     }
 
     /// Adds the homes of client accounts, in any order.
     #[must_use]
     pub fn with_callers(mut self, mut callers: Vec<CallerHomes>) -> Self {
         callers.sort_by(|a, b| a.name.cmp(&b.name));
-        self.callers = callers;
+        self.callers = Some(callers);
         self
     }
 
@@ -73,15 +74,23 @@
         self.routes.iter().find(|route| *route.name == *name)
     }
 
+    /// Returns whether a build that knows homes decoded the configuration, so that none is left out.
+    #[must_use]
+    pub fn states_homes(&self) -> bool {
+        self.callers.is_some()
+    }
+
     /// Returns whether any route or client account has homes.
     #[must_use]
     pub fn has_homes(&self) -> bool {
-        !self.callers.is_empty() || self.routes.iter().any(|route| !route.homes.is_unrestricted())
+        self.callers.as_ref().is_some_and(|callers| !callers.is_empty())
+            || self.routes.iter().any(|route| !route.homes.is_unrestricted())
     }
 
     /// Returns the homes of a request on a route that names these client accounts.
     pub fn homes<'a>(&self, route: &Route, callers: impl Iterator<Item = &'a str>) -> Homes {
-        let of_caller = |name: &'a str| self.callers.iter().filter(move |caller| *caller.name == *name);
+        let of_caller =
+            |name: &'a str| self.callers.iter().flatten().filter(move |caller| *caller.name == *name);
         callers
             .flat_map(of_caller)
             .fold(route.homes.clone(), |homes, caller| homes.intersection(&caller.homes))
