--- a/crates/front/src/caller_request.rs
+++ b/crates/front/src/caller_request.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use egret_events::{Code, log_request_event};
 use egret_model::Fingerprint;
-use egret_routes::CallerLimits;
+use egret_routes::{CallerLimits, Homes};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     HeaderMap, Method, Request, Uri, Version,
@@ -46,6 +46,8 @@
     pub(crate) fingerprint: Fingerprint,
     /// The targets that the request was sent to from this host.
     pub(crate) sent_to: SentTo,
+    /// The regions in which the request must stay.
+    pub(crate) homes: Homes,
 }
 
 /// Why a request could not be read. The names of the variants appear in log details.
@@ -106,6 +108,7 @@
             deadline,
             fingerprint,
             sent_to: SentTo::default(),
+            homes: Homes::default(),
         })
     }
 
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -3,6 +3,7 @@
 mod answer_timing;
 mod crash_check;
 mod extra_attempts;
+mod homes;
 mod reach;
 mod request_cost;
 
@@ -16,7 +17,6 @@
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use egret_events::{Code, log_event};
 use egret_policy::{
     CallerBudgets, LeadTimeEstimator, LimitShare, MARK_MEMORY, RequestCosts, RetryBudget, ReturnSchedule,
     Suspects, TargetReach,
@@ -29,6 +29,7 @@
     admission::Admission,
     answer_memory::AnswerMemory,
     clock::now,
+    home_views::HomeViews,
     instruments::Instruments,
     limit_sharers::LimitSharers,
     route_latency::RouteLatency,
@@ -70,6 +71,8 @@
     pub(crate) instruments: Instruments,
     /// The other hosts that gather, as targets of services named after their data centres.
     pub(crate) gatherers: ArcSwap<TargetSet>,
+    /// The targets and the gatherers within the homes of requests.
+    home_views: Mutex<(HomeViews, HomeViews)>,
     hosts: AtomicUsize,
     evacuated: AtomicUsize,
     gatherer_count: AtomicUsize,
@@ -121,6 +124,7 @@
             admission: Mutex::default(),
             instruments: Instruments::open(),
             gatherers: ArcSwap::default(),
+            home_views: Mutex::default(),
             hosts: AtomicUsize::new(1),
             evacuated: AtomicUsize::new(0),
             gatherer_count: AtomicUsize::new(0),
--- a/crates/front/src/fan_out/attempts.rs
+++ b/crates/front/src/fan_out/attempts.rs
@@ -37,10 +37,10 @@
     pub(super) fn next_attempt(&mut self, shard: usize) -> Option<NextAttempt> {
         let service = &self.services[shard];
         let filter = self.placed_work.map_or(PickFilter::Any, PickFilter::EarliestCompletion);
-        let target = self.core.targets.load().pick(now(), &[service], &self.tried[shard], filter);
+        let target = self.targets().pick(now(), &[service], &self.tried[shard], filter);
         let Some(target) = target else {
             self.result.without_target += u32::from(self.delivered[shard] == 0);
-            let backoff_left = self.core.targets.load().backoff_left(now(), service);
+            let backoff_left = self.targets().backoff_left(now(), service);
             self.result.backoff_left =
                 self.result.backoff_left.max(Some(backoff_left).filter(|time| !time.is_zero()));
             self.progress.abandon_shard(shard);
@@ -80,7 +80,7 @@
         let filter = self
             .placed_work
             .map_or(PickFilter::MaxCost(affordable), |work| PickFilter::FreeSlot(work, left.max(work.cost)));
-        let target = self.core.targets.load().pick(now_at, &[service], &self.tried[shard], filter);
+        let target = self.targets().pick(now_at, &[service], &self.tried[shard], filter);
         let Some(target) = target else {
             self.result.hedges_without_target += 1;
             return None;
--- a/crates/front/src/fan_out/placement.rs
+++ b/crates/front/src/fan_out/placement.rs
@@ -43,7 +43,7 @@
         target: &Target,
         work: RequestWork,
     ) -> Option<Duration> {
-        let pool = self.core.targets.load().pooled_load(now, &self.services[shard]);
+        let pool = self.targets().pooled_load(now, &self.services[shard]);
         let placement = target.placement(now, &work, pool);
         if !pool.is_known() && placement.full_left.is_zero() {
             return None;
@@ -75,8 +75,7 @@
     pub(super) fn has_placement(&self, shard: usize) -> bool {
         let Some(work) = self.placed_work else { return false };
         let filter = PickFilter::EarliestCompletion(work);
-        let target =
-            self.core.targets.load().pick(now(), &[&self.services[shard]], &self.tried[shard], filter);
+        let target = self.targets().pick(now(), &[&self.services[shard]], &self.tried[shard], filter);
         target.is_some_and(|target| self.refusal(shard, &target).is_none())
     }
 
@@ -89,7 +88,7 @@
     pub(super) fn expected_wait(&self, shard: usize, target: &Arc<Target>) -> Duration {
         let Some(work) = self.options.work else { return Duration::ZERO };
         let now = now();
-        let pool = self.core.targets.load().pooled_load(now, &self.services[shard]);
+        let pool = self.targets().pooled_load(now, &self.services[shard]);
         target.placement(now, &work, pool).wait
     }
 
@@ -105,7 +104,7 @@
         let service = &self.services[0];
         let earliest = self.result.backoff_left.or_else(|| {
             let filter = PickFilter::EarliestCompletion(work);
-            let target = self.core.targets.load().pick(now, &[service], &[], filter)?;
+            let target = self.targets().pick(now, &[service], &[], filter)?;
             self.expected_refusal(now, 0, &target, work)
         });
         // Callers wait no longer than this.
