Choose the caller connection to evict when memory or descriptors are short

Untrusted callers can exhaust a process; which of them gives way has to be decided without I/O and tested by itself. Unfinished requests with the longest time without progress go first, the largest among equals; idle connections only to admit other connections; a running request never, as its target may have run it.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -41,6 +41,7 @@
 //!   targets.
 //! - [`RequestLimit`], [`LimitShare`]: the limit on requests that a target states for all hosts.
 //! - [`WarmUpLimits`], [`warm_up_owner`]: the limit on requests to a replica that warms up.
+//! - [`choose_evicted`]: the caller connection to close when memory or descriptors are short.
 //! - [`LeadTimeEstimator`]: how long before its latency objective an answer must be made.
 //!
 //! docs/DESIGN.md explains the trade-offs of each.
@@ -49,6 +50,7 @@
 mod baseline;
 mod block_owners;
 mod caller_budgets;
+mod caller_eviction;
 mod contention;
 mod dispatcher;
 mod drain_signal;
@@ -80,6 +82,7 @@
 pub use baseline::{Baseline, BaselineError};
 pub use block_owners::{OWNER_CANDIDATES, RelayHost, owner_candidates};
 pub use caller_budgets::CallerBudgets;
+pub use caller_eviction::{ConnectionLoad, ConnectionPhase, Shortage, choose_evicted};
 pub use contention::Contention;
 pub use dispatcher::{Dispatcher, Limits};
 pub use drain_signal::DrainSignal;
