Charge the memory of callers' requests to one account, and evict when it is short

Cause: each body was bounded, their sum was not; connections were unbounded; only answers had a limit for the whole process. 400 unfinished bodies took a process of 80 MB to 186 MB.

Change: memory_account replaces answer_memory. Bodies, answers, messages of other hosts, connection buffers and the heads of a gather's parts are charged before they are held. A request that gets no memory waits up to 40 ms while others are evicted by policy::choose_evicted, then it is refused with 503. Announced bodies over the limit get 413 unread; the framing of bodies is bounded by the Allowance of answers. limits.max_fds (new, default 4096) bounds connections of callers, hosts and the internal servers. Events E530 to E533, two counters, three gauges.

--- a/crates/entry/src/caller_handler.rs
+++ b/crates/entry/src/caller_handler.rs
@@ -42,6 +42,7 @@
         let kind = match error {
             BodyError::TooLarge => RefusalKind::TooLarge,
             BodyError::TooSlow | BodyError::Broken => RefusalKind::BadRequest,
+            BodyError::NoMemory => RefusalKind::Overload,
         };
         refuse(Refusal::not_run(kind, error.to_string()))
     }
--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -128,6 +128,14 @@
     TargetsReachable = 525, "targets can be reached again";
     /// Another host sent a request to a target for this one.
     RequestForwarded = 526, "request forwarded";
+    /// Callers' requests were refused, or their connections closed, for lack of memory.
+    MemoryShort = 530, "memory is short";
+    /// Callers' connections were closed to accept others.
+    ConnectionsShort = 531, "connection limit reached";
+    /// A message of another host was refused for lack of memory.
+    MessageRefused = 532, "message refused for lack of memory";
+    /// The configuration allows larger bodies than this host has memory for.
+    BodyLimitTooHigh = 533, "body limit too high for this host's memory";
     /// The platform dropped the history after the last known revision.
     StoreHistoryLost = 518, "platform history lost";
     /// The platform's store was restored from a backup.
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -26,7 +26,7 @@
     gather::gather,
     reply::{self, CallerReply},
     target_answer::TargetAnswer,
-    timed_io::Arrival,
+    timed_io::{ActivityCell, Arrival},
 };
 
 /// How long before its caller's deadline a request fails, so that the failure reaches the caller in
@@ -43,7 +43,12 @@
 const RETRY_AFTER_POISON: f64 = 30.0;
 
 /// Answers a caller's request.
-pub(crate) async fn answer(core: Arc<Core>, req: Request<Incoming>, arrival: Arrival) -> CallerReply {
+pub(crate) async fn answer(
+    core: Arc<Core>,
+    req: Request<Incoming>,
+    arrival: Arrival,
+    activity: &ActivityCell,
+) -> CallerReply {
     // Where a request has both a length and chunks, the HTTP library drops the length. The bytes
     // after the chunks may have been meant as a part of the body (request smuggling), so the
     // connection is closed after any chunked request.
@@ -54,7 +59,7 @@
             "no configuration is known yet: try another host",
             Some(RETRY_AFTER_NO_TABLE),
         ),
-        Some(table) => match CallerRequest::read(req, &core.options.headers, table.limits(), arrival).await {
+        Some(table) => match CallerRequest::read(&core, req, table.limits(), arrival, activity).await {
             Ok(req) => {
                 let req = Arc::new(req);
                 tokio::select! {
@@ -94,7 +99,10 @@
             Some(at) => answer_from_one(core, route, &parts[at].service, &req).await,
             None => no_target(&req, route),
         },
-        Backend::Gather(plan) => gather(core, route, plan, &req).await,
+        Backend::Gather(plan) => match core.charge_parts(plan.shards.len(), &req.headers) {
+            Some(_charge) => gather(core, route, plan, &req).await,
+            None => no_memory(&req, route),
+        },
     }
 }
 
@@ -116,6 +124,12 @@
     reply::refused(StatusCode::SERVICE_UNAVAILABLE, reason, Some(jittered(RETRY_AFTER_NO_TARGET)))
 }
 
+fn no_memory(req: &CallerRequest, route: &Route) -> CallerReply {
+    req.log(Code::RequestRefused, &format!("route {}: no memory for the parts of a gather", route.name));
+    let reason = "there is no memory for the request now: come back later";
+    reply::refused(StatusCode::SERVICE_UNAVAILABLE, reason, Some(jittered(RETRY_AFTER_NO_TARGET)))
+}
+
 /// Answers a request that is still in flight when the process has to exit.
 fn unfinished(req: &CallerRequest) -> CallerReply {
     req.log(Code::RequestFailed, "this host shuts down, and no target has answered yet");
--- a/crates/front/src/bounded_io.rs
+++ b/crates/front/src/bounded_io.rs
@@ -1,4 +1,4 @@
-//! A connection to a target or another host with a limit of the bytes that one exchange may read.
+//! Limits of the bytes that are read for one answer or one body, framing included.
 
 use std::{
     io,
@@ -39,7 +39,7 @@
     }
 
     /// Counts bytes that were read; returns whether they were allowed.
-    fn consume(&self, bytes: usize) -> bool {
+    pub(crate) fn consume(&self, bytes: usize) -> bool {
         let used = |left: usize| Some(left.saturating_sub(bytes));
         let before = self.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, used);
         before.is_ok_and(|left| bytes <= left)
--- /dev/null
+++ b/crates/front/src/caller_connections.rs
@@ -0,0 +1,181 @@
+//! The open connections of callers, and the eviction of some of them when memory or descriptors are short.
+
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use egret_events::{Code, log_event};
+use egret_policy::{Shortage, choose_evicted};
+use egret_routes::CallerLimits;
+use hyper::HeaderMap;
+use tokio::time::timeout;
+
+use crate::{
+    clock::now,
+    core::{Core, lock},
+    memory_account::{Charge, MemoryUse},
+    timed_io::ActivityCell,
+};
+
+/// How long a body, a message or a new connection waits for memory until it is refused. Another host waits 60 ms
+/// for the acceptance of its message, and a refusal should be prompt.
+const ROOM_WAIT_MAX: Duration = Duration::from_millis(40);
+/// How long to wait for what one evicted connection releases before the next one is evicted.
+const RELEASE_WAIT: Duration = Duration::from_millis(5);
+/// How many connections the host and each other one have between them, about.
+const HOST_CONNECTIONS: usize = 2;
+/// The host's descriptors divided by this stay free for files, the internal servers, and connections that are
+/// being opened.
+const RESERVED_FDS_DIVISOR: usize = 8;
+/// A head up to this size is an ordinary one, in bytes.
+const ORDINARY_HEAD_BYTES: usize = 2 << 10;
+/// Each part of a gather holds its request's headers and their encoded form.
+const PART_HEADS: usize = 2;
+/// The minimum time between two log lines of the same kind of shortage.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The open connections of callers.
+#[derive(Debug, Default)]
+pub(crate) struct CallerConnections {
+    open: Mutex<Vec<ActivityCell>>,
+    memory_log: ShortageLog,
+    connection_log: ShortageLog,
+}
+
+/// Limits the log lines of a shortage, which may evict thousands of connections in a second.
+#[derive(Debug, Default)]
+struct ShortageLog {
+    logged_at: Mutex<Option<Instant>>,
+    evicted: AtomicUsize,
+}
+
+impl ShortageLog {
+    fn note(&self, code: Code) {
+        self.evicted.fetch_add(1, Ordering::Relaxed);
+        let now = now();
+        let mut logged_at = lock(&self.logged_at);
+        if logged_at.is_none_or(|at| now.saturating_duration_since(at) >= LOG_INTERVAL) {
+            *logged_at = Some(now);
+            let evicted = self.evicted.swap(0, Ordering::Relaxed);
+            log_event(code, "", &format!("{evicted} connections or requests since the last such line"));
+        }
+    }
+}
+
+/// Lists a connection as open until it is dropped.
+#[derive(Debug)]
+pub(crate) struct OpenConnection {
+    core: Arc<Core>,
+    activity: ActivityCell,
+}
+
+impl OpenConnection {
+    pub(crate) fn new(core: &Arc<Core>, activity: &ActivityCell) -> Self {
+        lock(&core.callers.open).push(activity.clone());
+        Self { core: Arc::clone(core), activity: activity.clone() }
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        let mut open = lock(&self.core.callers.open);
+        if let Some(at) = open.iter().position(|known| known.is_same(&self.activity)) {
+            open.swap_remove(at);
+        }
+    }
+}
+
+impl CallerConnections {
+    /// Returns the number of open connections.
+    pub(crate) fn count(&self) -> usize {
+        lock(&self.open).len()
+    }
+
+    /// Evicts one connection; returns `false` if none may be evicted.
+    fn evict(&self, shortage: Shortage) -> bool {
+        let open = lock(&self.open);
+        let candidates = open.iter().filter_map(|activity| Some((activity, activity.load()?)));
+        let evicted = choose_evicted(now(), shortage, candidates);
+        evicted.inspect(|activity| activity.evict()).is_some()
+    }
+
+    fn note_shortage(&self, shortage: Shortage) {
+        match shortage {
+            Shortage::Memory => self.memory_log.note(Code::MemoryShort),
+            Shortage::Connections => self.connection_log.note(Code::ConnectionsShort),
+        }
+    }
+}
+
+impl Core {
+    /// Logs a limit on bodies that is too great for this host's memory, so that the greatest bodies are
+    /// refused even without load.
+    pub(crate) fn check_body_limit(&self, limits: CallerLimits) {
+        let most = self.memory.body_bytes_max();
+        if limits.body_bytes > most {
+            let detail = format!(
+                "max_body_bytes is {}, but bodies of more than {most} bytes may be refused: raise limits.memory_mb",
+                limits.body_bytes
+            );
+            log_event(Code::BodyLimitTooHigh, "", &detail);
+        }
+    }
+
+    /// Returns whether callers should give up connections that targets and other hosts need.
+    pub(crate) fn is_short_of_descriptors(&self) -> bool {
+        let targets = self.targets.load().totals(now()).connections;
+        let used = self.callers.count() + targets + HOST_CONNECTIONS * self.known_hosts();
+        used > self.options.fds_max - self.options.fds_max / RESERVED_FDS_DIVISOR
+    }
+
+    /// Charges the copies of a request's head that a gather holds, one for each shard; returns `None` if
+    /// there is no memory for them.
+    pub(crate) fn charge_parts(&self, shards: usize, headers: &HeaderMap) -> Option<Charge> {
+        let head: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+        let purpose = if head > ORDINARY_HEAD_BYTES { MemoryUse::LargeBodies } else { MemoryUse::Parts };
+        self.memory.charge(purpose, shards * PART_HEADS * head)
+    }
+
+    /// Evicts one connection to relieve a shortage.
+    pub(crate) fn evict_connection(&self, shortage: Shortage) -> bool {
+        let has_evicted = self.callers.evict(shortage);
+        if has_evicted {
+            self.callers.note_shortage(shortage);
+            self.instruments.eviction(shortage);
+        }
+        has_evicted
+    }
+
+    /// Repeats `charge` until it succeeds, and evicts connections meanwhile; returns `false` if it fails
+    /// for [`ROOM_WAIT_MAX`] or if `own` is evicted itself.
+    ///
+    /// Nothing is read from the connection that waits, so its peer is slowed down.
+    pub(crate) async fn make_room(
+        &self,
+        shortage: Shortage,
+        own: Option<&ActivityCell>,
+        mut charge: impl FnMut() -> bool,
+    ) -> bool {
+        let until = now() + ROOM_WAIT_MAX;
+        loop {
+            if charge() {
+                return true;
+            }
+            if now() >= until || own.is_some_and(ActivityCell::is_evicted) {
+                self.instruments.refusal_for_memory();
+                self.callers.note_shortage(shortage);
+                return false;
+            }
+            self.evict_connection(shortage);
+            if own.is_some_and(ActivityCell::is_evicted) {
+                continue;
+            }
+            // Elapsed: a release between the attempt and this wait was missed.
+            let _ = timeout(RELEASE_WAIT, self.memory.released()).await;
+        }
+    }
+}
--- a/crates/front/src/caller_request.rs
+++ b/crates/front/src/caller_request.rs
@@ -6,7 +6,6 @@
 use egret_events::{Code, log_request_event};
 use egret_model::Fingerprint;
 use egret_routes::CallerLimits;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     HeaderMap, Method, Request, Uri, Version,
     body::Incoming,
@@ -16,9 +15,11 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
+    caller_body::read_caller_body,
     clock::now,
+    core::Core,
     header_names::{HeaderNames, remove_hop_by_hop},
-    timed_io::Arrival,
+    timed_io::{ActivityCell, Arrival},
 };
 
 /// The deadline of a request that states none.
@@ -60,16 +61,20 @@
     BodyTooSlow,
     /// The body was malformed, or the connection ended before the end of the body.
     BodyBroken,
+    /// There is no memory for the body now, or the connection was evicted for lack of memory.
+    NoMemory,
 }
 
 impl CallerRequest {
     /// Reads and checks a request.
     pub(crate) async fn read(
+        core: &Core,
         req: Request<Incoming>,
-        names: &HeaderNames,
         limits: CallerLimits,
         arrival: Arrival,
+        activity: &ActivityCell,
     ) -> Result<Self, RequestReadError> {
+        let names = &core.options.headers;
         let (head, body) = req.into_parts();
         let id = head.headers.get(&names.request_id).cloned().ok_or(RequestReadError::NoId)?;
         if head.headers.contains_key(TRANSFER_ENCODING)
@@ -80,13 +85,7 @@
         let host = requested_host(&head.headers, &head.uri).ok_or(RequestReadError::NoHost)?;
         let deadline = requested_deadline(&head.headers, names);
         let body_timeout = deadline.min(Duration::from_millis(limits.idle_timeout_ms));
-        let collected = Limited::new(body, limits.body_bytes).collect();
-        let body = match tokio::time::timeout(body_timeout, collected).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(RequestReadError::BodyTooLarge),
-            Ok(Err(_)) => return Err(RequestReadError::BodyBroken),
-            Err(_) => return Err(RequestReadError::BodyTooSlow),
-        };
+        let body = read_caller_body(core, body, limits, body_timeout, activity).await?;
         let mut headers = head.headers;
         remove_hop_by_hop(&mut headers);
         let uri = origin_form(head.uri);
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -21,12 +21,13 @@
 
 use crate::{
     Mechanism, Options,
-    answer_memory::AnswerMemory,
+    caller_connections::CallerConnections,
     caller_request::CallerRequest,
     clock::now,
     connection::Connection,
     instruments::Instruments,
     limit_sharers::LimitSharers,
+    memory_account::MemoryAccount,
     route_latency::RouteLatency,
     target::Target,
     target_set::{TargetOptions, TargetSet},
@@ -46,8 +47,6 @@
 /// The delay after a broken connection until the host tries to connect to the target, to learn
 /// whether it crashed.
 const CRASH_CHECK_DELAY: Duration = Duration::from_millis(20);
-/// Responses of targets may take up the host's memory divided by this.
-const ANSWERS_MEMORY_DIVISOR: usize = 4;
 
 /// An entry of a vector that is sorted by name and serves as a map.
 #[derive(Debug)]
@@ -91,7 +90,8 @@
     lead_time: Mutex<LeadTimeEstimator>,
     /// The time budgets that callers state, by route.
     stated_budgets: Mutex<Vec<NamedEntry<CallerBudgets>>>,
-    pub(crate) answer_memory: AnswerMemory,
+    pub(crate) memory: MemoryAccount,
+    pub(crate) callers: CallerConnections,
     /// Runs of targets that announced that they shut down, until the control thread takes them.
     leaving: Mutex<Vec<ReplicaRun>>,
     has_leaving: Notify,
@@ -103,7 +103,8 @@
 impl Core {
     pub(crate) fn new(options: Options) -> Self {
         Self {
-            answer_memory: AnswerMemory::new(options.memory_bytes / ANSWERS_MEMORY_DIVISOR),
+            memory: MemoryAccount::new(options.memory_bytes),
+            callers: CallerConnections::default(),
             lead_time: Mutex::new(LeadTimeEstimator::new(options.millicores, options.link_bytes_per_s)),
             options,
             table: ArcSwapOption::default(),
@@ -133,6 +134,7 @@
     }
 
     pub(crate) fn set_table(&self, table: Arc<RouteTable>) {
+        self.check_body_limit(table.limits());
         self.table.store(Some(table));
     }
 
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use egret_events::{Code, log_event};
-use egret_policy::ExchangeEnd;
+use egret_policy::{ExchangeEnd, Shortage};
 use egret_routes::TopRecords;
 use http_body_util::{BodyExt, Full};
 use hyper::{
@@ -22,6 +22,7 @@
     clock::now,
     connection::{Connection, HEAD_BYTES_MAX},
     core::Core,
+    memory_account::MemoryUse,
     retry_after::retry_after,
     target::{InFlightGuard, Target},
     target_answer::{ExchangeResult, LossCause, TargetAnswer},
@@ -245,7 +246,7 @@
 ) -> Result<Bytes, LossCause> {
     let bytes_max = if top_k.is_some() { PART_BODY_BYTES_MAX } else { ANSWER_BODY_BYTES_MAX };
     connection.allowance.set(FRAMING_BYTES_MAX);
-    let mut whole = core.answer_memory.begin();
+    let mut whole = core.memory.buffer(MemoryUse::Answers, bytes_max);
     let mut records = top_k.map(TopRecords::new);
     let mut bytes = 0;
     while let Some(frame) = body.frame().await {
@@ -258,7 +259,7 @@
         }
         match &mut records {
             Some(records) => records.add(&data),
-            None if whole.add(&data) => {}
+            None if core.make_room(Shortage::Memory, None, || whole.add(&data)).await => {}
             None => return Err(LossCause::TooLarge),
         }
     }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -11,11 +11,13 @@
 use egret_events::{Code, log_event};
 use egret_members::{Member, Membership};
 use egret_node::{HttpClient, HttpLimits, HttpServer};
+use egret_policy::Shortage;
 use tokio::{runtime::Handle, task::JoinHandle};
 
 use crate::{
     Mechanism, Options, Store, caller_connection,
     clock::now,
+    connection_limit::ConnectionLimit,
     core::Core,
     fleet_view::FleetView,
     gather_server,
@@ -29,6 +31,16 @@
 /// How long the daemon still accepts connections after the signal to stop: in this time two
 /// readiness checks of the load balancer fail, and connections that were being opened arrive.
 const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2800);
+/// Callers' connections may take up the host's descriptors divided by this. The rest is for other hosts, targets,
+/// files and the internal servers.
+const CALLERS_FDS_DIVISOR: usize = 2;
+/// Connections on which other hosts send gathers may take up the host's descriptors divided by this.
+const HOSTS_FDS_DIVISOR: usize = 4;
+/// Connections of other hosts' gossip, of readiness checks and of scrapes may each take up the host's
+/// descriptors divided by this.
+const INTERNAL_FDS_DIVISOR: usize = 16;
+/// The limit of the bodies of readiness checks and of scrapes, in bytes; they need none.
+const CHECK_BODY_BYTES_MAX: usize = 4096;
 /// The part of the grace period that is kept for the exit of the process itself, on a busy host.
 const EXIT_RESERVE: Duration = Duration::from_millis(800);
 /// The part of the time before that in which requests still in flight are answered with a failure.
@@ -84,22 +96,33 @@
             options.seeds.clone(),
         );
         let control = Handle::current();
-        let limits = HttpLimits::internal();
+        let limits = HttpLimits {
+            body_bytes: core.memory.message_bytes_max(),
+            connections: options.fds_max / INTERNAL_FDS_DIVISOR,
+            ..HttpLimits::internal()
+        };
         let site = GossipSite(gossip.clone());
         let control_server = bind(&control, options.control, limits, site).await?;
-        let ready =
-            bind(&control, options.ready, HttpLimits::default(), ReadySite(Arc::clone(&core))).await?;
+        let limits = HttpLimits { body_bytes: CHECK_BODY_BYTES_MAX, ..limits };
+        let ready = bind(&control, options.ready, limits, ReadySite(Arc::clone(&core))).await?;
         let site = MetricsSite { core: Arc::clone(&core), dropped_lines: Box::new(dropped_lines) };
-        let metrics = bind(&control, options.metrics, HttpLimits::default(), site).await?;
+        let metrics = bind(&control, options.metrics, limits, site).await?;
         let address = options.callers;
         let (callers, gathers) = {
             let _guard = traffic.enter();
-            let shared = Arc::clone(&core);
-            let callers = Listener::bind(address, move |stream, closing| {
+            let (shared, checking, evicting) = (Arc::clone(&core), Arc::clone(&core), Arc::clone(&core));
+            let limit = ConnectionLimit::new(
+                options.fds_max / CALLERS_FDS_DIVISOR,
+                move || checking.is_short_of_descriptors(),
+                move || evicting.evict_connection(Shortage::Connections),
+            );
+            let callers = Listener::bind(address, limit, move |stream, closing| {
                 caller_connection::serve(Arc::clone(&shared), stream, closing)
             });
             let shared = Arc::clone(&core);
-            let gathers = Listener::bind(options.gathers, move |stream, closing| {
+            // Other hosts are trusted: their connections are bounded, but none is closed for another.
+            let limit = ConnectionLimit::new(options.fds_max / HOSTS_FDS_DIVISOR, || false, || false);
+            let gathers = Listener::bind(options.gathers, limit, move |stream, closing| {
                 gather_server::serve(Arc::clone(&shared), stream, closing)
             });
             let error = |address| move |source| FrontError { address, source };
--- a/crates/front/src/gather_server.rs
+++ b/crates/front/src/gather_server.rs
@@ -7,12 +7,14 @@
 };
 
 use bytes::Bytes;
+use egret_events::{Code, log_event};
+use egret_policy::Shortage;
 use egret_routes::{Backend, GatherPlan, Route, RouteTable};
 use futures_util::stream;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited, StreamBody, combinators::UnsyncBoxBody};
+use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
 use hyper::{
     Request, Response, StatusCode,
-    body::{Frame, Incoming},
+    body::{Body, Frame, Incoming},
     server::conn::http1,
     service::service_fn,
 };
@@ -37,11 +39,18 @@
     gather_call::{GatherCall, GatherReply},
     gather_frames::{Framed, encode_frame},
     gather_options::GatherOptions,
+    memory_account::MemoryUse,
 };
 
 /// The limit of another host's message, in bytes: a caller's body and headers fit.
 const MESSAGE_BYTES_MAX: usize = 16 << 20;
 
+/// The buffer of a connection, in bytes. The library's default grows to 400 KB.
+const BUFFER_BYTES: usize = 16 << 10;
+
+/// The time within which another host's message must arrive.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// With the first poll the HTTP library reads the end of the request, with the second one the end of the
 /// connection.
 const POLLS_UNTIL_CLOSE_IS_SEEN: usize = 2;
@@ -50,12 +59,15 @@
 
 /// Serves a connection of another host until it ends, or until `closing` becomes true and it is idle.
 pub(crate) async fn serve(core: Arc<Core>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
+    let Some(_charge) = core.memory.charge(MemoryUse::Ordinary, BUFFER_BYTES) else { return };
     let service = service_fn(move |req| {
         let core = Arc::clone(&core);
         async move { Ok::<_, Infallible>(respond(core, req).await) }
     });
-    let connection =
-        http1::Builder::new().header_read_timeout(None).serve_connection(TokioIo::new(stream), service);
+    let connection = http1::Builder::new()
+        .max_buf_size(BUFFER_BYTES)
+        .header_read_timeout(None)
+        .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
         // The other host handles the error of its connection; nothing remains to be done here.
@@ -77,31 +89,58 @@
             );
         }
     };
-    let body = match Limited::new(req.into_body(), MESSAGE_BYTES_MAX).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<LengthLimitError>() => {
-            return plain_text(StatusCode::PAYLOAD_TOO_LARGE, "the message is too large\n");
-        }
-        Err(_) => return plain_text(StatusCode::BAD_REQUEST, "the message broke off\n"),
+    let body = match tokio::time::timeout(MESSAGE_TIMEOUT, read_message(&core, req.into_body())).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(refusal)) => return refusal,
+        Err(_) => return plain_text(StatusCode::REQUEST_TIMEOUT, "the message did not arrive in time\n"),
     };
     if core.is_partitioned() {
         return plain_text(StatusCode::SERVICE_UNAVAILABLE, "this host reaches no target\n");
     }
     if is_gather {
-        respond_to_gather(core, arrived_at, &body).await
+        respond_to_gather(core, arrived_at, body).await
     } else {
-        respond_to_forward(core, arrived_at, &body).await
+        respond_to_forward(core, arrived_at, body).await
     }
 }
 
-async fn respond_to_gather(core: Arc<Core>, arrived_at: Instant, body: &[u8]) -> GatherResponse {
-    let Some((call, req)) = decode::<GatherCall>(&core, body) else { return unreadable() };
+/// Reads a message, whose memory and that of the request decoded from it stay charged until it is dropped.
+async fn read_message(core: &Core, mut body: Incoming) -> Result<Bytes, GatherResponse> {
+    let mut whole = core.memory.buffer(MemoryUse::Messages, MESSAGE_BYTES_MAX);
+    let mut announced = body.size_hint().lower();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| plain_text(StatusCode::BAD_REQUEST, "the message broke off\n"))?;
+        let Ok(data) = frame.into_data() else { continue };
+        announced = announced.max((whole.len() + data.len()) as u64);
+        if announced > MESSAGE_BYTES_MAX as u64 {
+            return Err(plain_text(StatusCode::PAYLOAD_TOO_LARGE, "the message is too large\n"));
+        }
+        if !core.make_room(Shortage::Memory, None, || whole.add(&data)).await {
+            return Err(no_memory());
+        }
+    }
+    if !core.make_room(Shortage::Memory, None, || whole.charge_copy()).await {
+        return Err(no_memory());
+    }
+    Ok(whole.freeze())
+}
+
+/// The sender asks another host then, as this one has run nothing.
+fn no_memory() -> GatherResponse {
+    log_event(Code::MessageRefused, "", "");
+    plain_text(StatusCode::SERVICE_UNAVAILABLE, "there is no memory for the message now\n")
+}
+
+async fn respond_to_gather(core: Arc<Core>, arrived_at: Instant, body: Bytes) -> GatherResponse {
+    let Some((call, req)) = decode::<GatherCall>(&core, &body) else { return unreadable() };
     let Some(table) = core.table.load_full().filter(|table| find(table, &call).is_some()) else {
         return other_configuration();
     };
     see_closed_connection().await;
     let (tx, rx) = mpsc::unbounded_channel();
     let task = tokio::spawn(async move {
+        // Its charge covers the decoded copy, too.
+        let _message = body;
         if let Some((route, plan)) = find(&table, &call) {
             let answer_at = arrived_at + Duration::from_micros(call.answer_in_us);
             let options = GatherOptions { is_repeat: call.is_repeat, answer_at };
@@ -114,14 +153,16 @@
     accepted(rx, task)
 }
 
-async fn respond_to_forward(core: Arc<Core>, arrived_at: Instant, body: &[u8]) -> GatherResponse {
-    let Some((call, req)) = decode::<ForwardCall>(&core, body) else { return unreadable() };
+async fn respond_to_forward(core: Arc<Core>, arrived_at: Instant, body: Bytes) -> GatherResponse {
+    let Some((call, req)) = decode::<ForwardCall>(&core, &body) else { return unreadable() };
     let Some(table) = core.table.load_full().filter(|table| find_route(table, &call).is_some()) else {
         return other_configuration();
     };
     see_closed_connection().await;
     let (tx, rx) = mpsc::unbounded_channel();
     let task = tokio::spawn(async move {
+        // Its charge covers the decoded copy, too.
+        let _message = body;
         if let Some(route) = find_route(&table, &call) {
             let answer_at = arrived_at + Duration::from_micros(call.answer_in_us);
             // Sending fails if the other host has closed the connection.
@@ -174,6 +215,10 @@
     if core.suspects().is_poison(now(), req.fingerprint) {
         return GatherReply { may_have_run: options.is_repeat, ..GatherReply::not_run() };
     }
+    let shards = call.shards.as_ref().map_or(plan.shards.len(), Vec::len);
+    let Some(_charge) = core.charge_parts(shards, &req.headers) else {
+        return GatherReply { may_have_run: options.is_repeat, ..GatherReply::not_run() };
+    };
     let req = Arc::new(req);
     match &call.shards {
         None => run_gather(core, route, plan, &req, options).await,
--- a/crates/front/src/gossip.rs
+++ b/crates/front/src/gossip.rs
@@ -1,6 +1,7 @@
 //! Gossip between hosts: periodic exchanges, pushes of changes, and the handler of messages.
 
 use std::{
+    any::Any,
     net::SocketAddr,
     sync::{
         Arc, Mutex,
@@ -18,6 +19,7 @@
     clock::now,
     core::{Core, lock},
     fleet_view::{FleetView, JOIN_PERIOD},
+    memory_account::MemoryUse,
 };
 
 /// The path on which a host receives gossip.
@@ -280,6 +282,12 @@
 pub(crate) struct GossipSite(pub(crate) Gossip);
 
 impl HttpHandler for GossipSite {
+    fn reserve(&self, bytes_max: usize) -> Option<Box<dyn Any + Send>> {
+        // The decoded message takes as much again.
+        let charge = self.0.core.memory.charge(MemoryUse::Messages, 2 * bytes_max)?;
+        Some(Box::new(charge))
+    }
+
     async fn respond(&self, call: HttpRequest) -> Reply {
         if call.path != GOSSIP_PATH {
             return Reply::not_found();
--- a/crates/front/src/instruments.rs
+++ b/crates/front/src/instruments.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use egret_node::{Metrics, label};
+use egret_policy::Shortage;
 use opentelemetry::metrics::{Counter, Histogram};
 
 /// The counters and latency histograms of one host; scraping them waits for no request.
@@ -21,6 +22,8 @@
     forwards: Counter<u64>,
     store_calls: Counter<u64>,
     gossip_exchanges: Counter<u64>,
+    evictions: Counter<u64>,
+    memory_refusals: Counter<u64>,
 }
 
 impl Instruments {
@@ -42,6 +45,10 @@
             forwards: metrics
                 .counter("forwards", "Requests for one target sent to other hosts, by their end."),
             store_calls: metrics.counter("store_calls", "Calls to the platform's store by their end."),
+            evictions: metrics
+                .counter("evictions", "Callers' connections closed for lack of memory or descriptors."),
+            memory_refusals: metrics
+                .counter("memory_refusals", "Bodies, answers, messages and connections without memory."),
             gossip_exchanges: metrics.counter("news", "Messages to other hosts by their end."),
             metrics,
         }
@@ -85,6 +92,18 @@
         self.store_calls.add(1, &[label("end", end)]);
     }
 
+    pub(crate) fn eviction(&self, shortage: Shortage) {
+        let cause = match shortage {
+            Shortage::Memory => "memory",
+            Shortage::Connections => "connections",
+        };
+        self.evictions.add(1, &[label("cause", cause)]);
+    }
+
+    pub(crate) fn refusal_for_memory(&self) {
+        self.memory_refusals.add(1, &[]);
+    }
+
     pub(crate) fn gossip_exchange(&self, end: &'static str) {
         self.gossip_exchanges.add(1, &[label("end", end)]);
     }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -22,13 +22,15 @@
 //! and `gossip` exchanges it with other hosts. docs/PLATFORM.md compares the alternatives.
 
 mod answer;
-mod answer_memory;
 mod bounded_io;
+mod caller_body;
 mod caller_connection;
+mod caller_connections;
 mod caller_request;
 mod carried_headers;
 mod clock;
 mod connection;
+mod connection_limit;
 mod core;
 mod delegate;
 mod deletion_guard;
@@ -52,6 +54,7 @@
 mod limit_sharers;
 mod listener;
 mod mechanism;
+mod memory_account;
 mod metrics_site;
 mod options;
 mod parts_sender;
--- a/crates/front/src/listener.rs
+++ b/crates/front/src/listener.rs
@@ -19,6 +19,8 @@
     time::Instant,
 };
 
+use crate::connection_limit::ConnectionLimit;
+
 const ACCEPT_BACKLOG: i32 = 1024;
 /// How long to wait after `accept` failed, as when the process has no file descriptor left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -50,6 +52,7 @@
     /// `true` when the connection should end.
     pub(crate) fn bind<F>(
         address: SocketAddr,
+        limit: ConnectionLimit,
         serve: impl Fn(TcpStream, watch::Receiver<bool>) -> F + Send + 'static,
     ) -> io::Result<Self>
     where
@@ -58,7 +61,7 @@
         let listener = listen(address)?;
         let (closing, closed) = watch::channel(false);
         let open = Arc::new(AtomicUsize::new(0));
-        let accepting = tokio::spawn(accept(listener, closed, Arc::clone(&open), serve));
+        let accepting = tokio::spawn(accept(listener, limit, closed, Arc::clone(&open), serve));
         Ok(Self { closing, open, accepting })
     }
 
@@ -75,6 +78,7 @@
 
 async fn accept<F>(
     listener: TcpListener,
+    limit: ConnectionLimit,
     closing: watch::Receiver<bool>,
     open: Arc<AtomicUsize>,
     serve: impl Fn(TcpStream, watch::Receiver<bool>) -> F + Send + 'static,
@@ -88,12 +92,14 @@
                     // The peer has already closed the connection.
                     continue;
                 }
+                // Dropping the stream closes the connection.
+                let Some(permit) = limit.admit().await else { continue };
                 open.fetch_add(1, Ordering::SeqCst);
                 let open_guard = OpenGuard(Arc::clone(&open));
                 let serving = serve(stream, closing.clone());
                 tokio::spawn(async move {
                     serving.await;
-                    drop(open_guard);
+                    drop((open_guard, permit));
                 });
             }
             Err(error) => {
--- a/crates/front/src/metrics_site.rs
+++ b/crates/front/src/metrics_site.rs
@@ -51,6 +51,9 @@
             ("targets_avoided", state.ejected as f64),
             ("slots_in_use", state.in_flight as f64),
             ("target_connections", state.connections as f64),
+            ("memory_charged_bytes", core.memory.charged() as f64),
+            ("memory_limit_bytes", core.memory.limit() as f64),
+            ("caller_connections", core.callers.count() as f64),
             ("least_budget", core.lowest_extra_attempt_budget()),
             ("log_lines_dropped", (self.dropped_lines)() as f64),
         ]
--- a/crates/front/src/options.rs
+++ b/crates/front/src/options.rs
@@ -30,6 +30,8 @@
     pub link_bytes_per_s: f64,
     /// The memory that this host may use, in bytes.
     pub memory_bytes: usize,
+    /// The number of file descriptors that this host may have open.
+    pub fds_max: usize,
     /// Control addresses of the hosts to contact first; some may be out of date.
     pub seeds: Vec<SocketAddr>,
     /// Limits the extra attempts that all hosts together may send beyond the first attempt at each
--- a/crates/front/src/reply.rs
+++ b/crates/front/src/reply.rs
@@ -15,6 +15,10 @@
     target_answer::TargetAnswer,
 };
 
+/// The mean `Retry-After` of a request for whose body there was no memory, in seconds. It is randomised by
+/// two fifths, so that callers that were refused together do not retry together.
+const RETRY_AFTER_NO_MEMORY: f64 = 0.5;
+
 /// The HTTP response that a caller gets.
 pub(crate) type CallerReply = Response<Full<Bytes>>;
 
@@ -69,6 +73,9 @@
 /// Builds the failure of a request that could not be read; it closes the connection.
 pub(crate) fn unreadable(error: RequestReadError) -> CallerReply {
     let (status, reason) = match error {
+        RequestReadError::NoMemory => {
+            (StatusCode::SERVICE_UNAVAILABLE, "there is no memory for the body now: come back later")
+        }
         RequestReadError::NoId => (StatusCode::BAD_REQUEST, "the request has no identifier: send one"),
         RequestReadError::NoHost => (StatusCode::BAD_REQUEST, "the request names no host: send Host"),
         RequestReadError::Framing => {
@@ -82,7 +89,9 @@
         }
         RequestReadError::BodyBroken => (StatusCode::BAD_REQUEST, "the body broke off: send it again"),
     };
-    let mut reply = refused(status, reason, None);
+    let retry_after =
+        (error == RequestReadError::NoMemory).then(|| RETRY_AFTER_NO_MEMORY * (0.6 + 0.8 * fastrand::f64()));
+    let mut reply = refused(status, reason, retry_after);
     reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     reply
 }
--- a/crates/front/src/timed_io.rs
+++ b/crates/front/src/timed_io.rs
@@ -9,12 +9,15 @@
     time::{Duration, Instant},
 };
 
+use egret_policy::{ConnectionLoad, ConnectionPhase};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
+    sync::watch,
 };
 
 use crate::{
+    bounded_io::Allowance,
     clock::now,
     core::{Core, lock},
 };
@@ -26,13 +29,27 @@
     Idle(Instant),
     /// Reading the headers of a request since the given time.
     Header(Instant),
+    /// Reading the body of a request; the last bytes of it arrived at the given time.
+    Body(Instant),
     /// Answering a request.
     Busy,
 }
 
 /// The activity of one connection; clones share it.
 #[derive(Clone, Debug)]
-pub(crate) struct ActivityCell(Arc<Mutex<State>>);
+pub(crate) struct ActivityCell(Arc<Shared>);
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<State>,
+    /// Whether the connection was chosen to be closed for lack of memory or descriptors.
+    evicted: watch::Sender<bool>,
+    /// How many bytes may still be read for the current body.
+    allowance: Allowance,
+}
+
+/// No limit; low enough that adding to it cannot overflow.
+const UNLIMITED: usize = usize::MAX / 2;
 
 #[derive(Debug)]
 struct State {
@@ -43,6 +60,10 @@
     is_first_request: bool,
     /// When the answer that is written next was due.
     due_at: Option<Instant>,
+    /// Since when bytes wait to be written because the caller reads none.
+    blocked_since: Option<Instant>,
+    /// The size of the body that arrives, or of the answer that was written last, in bytes.
+    held_bytes: usize,
 }
 
 /// How a request arrived.
@@ -62,30 +83,104 @@
 impl ActivityCell {
     /// Creates the activity of a connection that was accepted at `at`.
     pub(crate) fn accepted_at(at: Instant) -> Self {
-        let activity = Activity::Idle(at);
-        Self(Arc::new(Mutex::new(State { activity, began_at: at, is_first_request: true, due_at: None })))
+        let state = State {
+            activity: Activity::Idle(at),
+            began_at: at,
+            is_first_request: true,
+            due_at: None,
+            blocked_since: None,
+            held_bytes: 0,
+        };
+        let allowance = Allowance::default();
+        allowance.set(UNLIMITED);
+        Self(Arc::new(Shared { state: Mutex::new(state), evicted: watch::Sender::new(false), allowance }))
     }
 
     pub(crate) fn get(&self) -> Activity {
-        lock(&self.0).activity
+        lock(&self.0.state).activity
+    }
+
+    /// Returns whether this is the activity of the same connection.
+    pub(crate) fn is_same(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.0, &other.0)
+    }
+
+    /// Returns what eviction needs to know; `None` if the connection is already evicted.
+    pub(crate) fn load(&self) -> Option<ConnectionLoad> {
+        if self.is_evicted() {
+            return None;
+        }
+        let state = lock(&self.0.state);
+        let (phase, progress_at) = match (state.activity, state.blocked_since) {
+            (Activity::Idle(_), Some(since)) => (ConnectionPhase::Writing, since),
+            (Activity::Idle(since), None) => (ConnectionPhase::Idle, since),
+            (Activity::Header(since), _) => (ConnectionPhase::Head, since),
+            (Activity::Body(since), _) => (ConnectionPhase::Body, since),
+            (Activity::Busy, _) => (ConnectionPhase::Running, state.began_at),
+        };
+        Some(ConnectionLoad { phase, progress_at, held_bytes: state.held_bytes })
+    }
+
+    /// Makes the connection end: at once, or with the answer of its current request.
+    pub(crate) fn evict(&self) {
+        self.0.evicted.send_replace(true);
+    }
+
+    pub(crate) fn is_evicted(&self) -> bool {
+        *self.0.evicted.borrow()
+    }
+
+    /// Waits until [`Self::evict`] is called.
+    pub(crate) async fn evicted(&self) {
+        // Fails only if the sender is dropped, which `self` owns.
+        let _ = self.0.evicted.subscribe().wait_for(|is_evicted| *is_evicted).await;
+    }
+
+    /// Returns whether an answer waits because the caller reads nothing.
+    pub(crate) fn is_blocked(&self) -> bool {
+        lock(&self.0.state).blocked_since.is_some()
+    }
+
+    /// Records that a body begins to arrive, and limits the bytes that are read for it.
+    pub(crate) fn begin_body(&self, allowed: usize) {
+        self.0.allowance.set(allowed);
+        let mut state = lock(&self.0.state);
+        state.activity = Activity::Body(now());
+        state.held_bytes = 0;
+    }
+
+    /// Records that a part of the body arrived, and allows more bytes to be read.
+    pub(crate) fn body_grew(&self, held_bytes: usize, allowed: usize) {
+        self.0.allowance.add(allowed);
+        let mut state = lock(&self.0.state);
+        state.activity = Activity::Body(now());
+        state.held_bytes = held_bytes;
+    }
+
+    /// Records that no more of the body is read.
+    pub(crate) fn end_body(&self) {
+        self.0.allowance.set(UNLIMITED);
+        lock(&self.0.state).activity = Activity::Busy;
     }
 
     /// Records that a request was read and is being answered.
     pub(crate) fn begin(&self) -> Arrival {
-        let mut state = lock(&self.0);
+        let mut state = lock(&self.0.state);
         state.activity = Activity::Busy;
         Arrival { at: state.began_at, is_new_connection: state.is_first_request }
     }
 
-    /// Records that a request is answered; its answer, due at `due_at`, is written next.
-    pub(crate) fn answered(&self, due_at: Option<Instant>) {
+    /// Records that a request is answered; its answer of `held_bytes`, due at `due_at`, is written next.
+    pub(crate) fn answered(&self, due_at: Option<Instant>, held_bytes: usize) {
         let now = now();
         let activity = Activity::Idle(now);
-        *lock(&self.0) = State { activity, began_at: now, is_first_request: false, due_at };
+        let is_first_request = false;
+        *lock(&self.0.state) =
+            State { activity, began_at: now, is_first_request, due_at, blocked_since: None, held_bytes };
     }
 
     fn on_bytes_read(&self) {
-        let mut state = lock(&self.0);
+        let mut state = lock(&self.0.state);
         if let Activity::Idle(since) = state.activity {
             let now = now();
             state.activity = Activity::Header(now);
@@ -95,8 +190,15 @@
         }
     }
 
-    fn take_due_at(&self) -> Option<Instant> {
-        lock(&self.0).due_at.take()
+    /// Records whether bytes could be written; returns when the answer was due if they are its first.
+    fn on_write(&self, is_written: bool) -> Option<Instant> {
+        let mut state = lock(&self.0.state);
+        if is_written {
+            state.blocked_since = None;
+            return state.due_at.take();
+        }
+        state.blocked_since.get_or_insert_with(now);
+        None
     }
 }
 
@@ -111,8 +213,8 @@
 
 impl TimedIo {
     fn note_written(&self, poll: &Poll<io::Result<usize>>) {
-        if matches!(poll, Poll::Ready(Ok(_)))
-            && let Some(due_at) = self.activity.take_due_at()
+        if !matches!(poll, Poll::Ready(Err(_)))
+            && let Some(due_at) = self.activity.on_write(poll.is_ready())
         {
             self.core.answer_written(due_at);
         }
@@ -127,9 +229,14 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before {
+        let received = buf.filled().len() - before;
+        if received > 0 {
             self.activity.on_bytes_read();
         }
+        if !self.activity.0.allowance.consume(received) {
+            buf.set_filled(before);
+            return Poll::Ready(Err(io::Error::other("the body's framing is far larger than its data")));
+        }
         poll
     }
 }
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -1,6 +1,7 @@
 //! The HTTP server that every daemon uses.
 
 use std::{
+    any::Any,
     future::Future,
     net::SocketAddr,
     sync::{
@@ -64,11 +65,19 @@
     /// Answers a request.
     fn respond(&self, request: HttpRequest) -> impl Future<Output = Reply> + Send;
 
+    /// Reserves memory for a body of at most `bytes_max` bytes before it is read; returns `None` if there is
+    /// none. The reservation is dropped once the request is answered.
+    fn reserve(&self, bytes_max: usize) -> Option<Box<dyn Any + Send>> {
+        let _ = bytes_max;
+        Some(Box::new(()))
+    }
+
     /// Answers a request whose body could not be read.
     fn respond_to_bad_body(&self, error: BodyError) -> Reply {
         let status = match error {
             BodyError::TooLarge => 413,
             BodyError::TooSlow => 408,
+            BodyError::NoMemory => 503,
             BodyError::Broken => 400,
         };
         Reply::text(status, format!("{error}\n"))
@@ -108,7 +117,15 @@
 impl<S: HttpHandler> Handler for HandlerAdapter<S> {
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
         let _guard = InFlightGuard::begin(&self.state);
-        let reply = match read_body(req, &self.limits).await {
+        let announced =
+            req.headers().get(header::CONTENT_LENGTH).and_then(|value| value.to_str().ok()?.parse().ok());
+        let bytes_max = announced.unwrap_or(self.limits.body_bytes).min(self.limits.body_bytes);
+        let reserved = self.inner.reserve(bytes_max);
+        let body = match &reserved {
+            Some(_) => read_body(req, &self.limits).await,
+            None => Err(BodyError::NoMemory),
+        };
+        let reply = match body {
             Ok(body) => {
                 let method = req.method().as_str().to_owned();
                 let path = req.uri().path().to_owned();
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -44,6 +44,9 @@
     /// The body did not arrive within the timeout.
     #[display("the body did not arrive in time: send it without pauses")]
     TooSlow,
+    /// There is no memory for the body.
+    #[display("there is no memory for the body now: send it again later")]
+    NoMemory,
     /// The connection broke, or the HTTP framing is invalid.
     #[display("the body is broken: check the connection and the framing")]
     Broken,
