Keep memory for requests beside open connections, and refuse unanswerable requests

Cause: silent connections alone could fill 60 in 100 of the account, which left no room for bodies over 16 KiB; a request was sent although no memory was left for any answer, and its caller got 502 after a target had run it.

Change: callers' connections have a part of the account, a quarter, and may use the reserved share. A request is refused with 503 before it is sent if there is no room for 16 KiB of its answer.

--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -6,7 +6,7 @@
 };
 
 use egret_events::{Code, log_event};
-use egret_policy::{GatherLimits, weighted_draw};
+use egret_policy::{GatherLimits, Shortage, weighted_draw};
 use egret_routes::{Backend, Route, RouteTable};
 use hyper::{
     Request, StatusCode,
@@ -24,6 +24,7 @@
     forward::{ForwardOptions, forward},
     forward_call::ForwardReply,
     gather::gather,
+    memory_account::MemoryUse,
     reply::{self, CallerReply},
     target_answer::TargetAnswer,
     timed_io::{ActivityCell, Arrival},
@@ -42,6 +43,9 @@
 /// The `Retry-After` of a request that crashed targets, in seconds.
 const RETRY_AFTER_POISON: f64 = 30.0;
 
+/// A request is not sent to targets if there is not even this much memory for its answer, in bytes.
+const ANSWER_ROOM_MIN: usize = 16 << 10;
+
 /// Answers a caller's request.
 pub(crate) async fn answer(
     core: Arc<Core>,
@@ -93,6 +97,11 @@
         let reason = "the request crashed the targets that ran it: change it";
         return reply::refused(StatusCode::SERVICE_UNAVAILABLE, reason, Some(RETRY_AFTER_POISON));
     }
+    // A target must not run a request whose answer would be lost.
+    let has_room = || core.memory.charge(MemoryUse::Answers, ANSWER_ROOM_MIN).is_some();
+    if !core.make_room(Shortage::Memory, None, has_room).await {
+        return no_memory(&req, route);
+    }
     match &route.backend {
         Backend::One(service) => answer_from_one(core, route, service, &req).await,
         Backend::Split(parts) => match weighted_draw(parts.iter().map(|part| part.weight), fastrand::f64()) {
@@ -125,7 +134,7 @@
 }
 
 fn no_memory(req: &CallerRequest, route: &Route) -> CallerReply {
-    req.log(Code::RequestRefused, &format!("route {}: no memory for the parts of a gather", route.name));
+    req.log(Code::RequestRefused, &format!("route {}: no memory for its answer or its parts", route.name));
     let reason = "there is no memory for the request now: come back later";
     reply::refused(StatusCode::SERVICE_UNAVAILABLE, reason, Some(jittered(RETRY_AFTER_NO_TARGET)))
 }
--- a/crates/front/src/caller_connection.rs
+++ b/crates/front/src/caller_connection.rs
@@ -53,7 +53,7 @@
     let header_bytes_max = limits.header_bytes.max(BUFFER_BYTES_MIN);
     let mut charge = None;
     let charge_connection = || {
-        charge = core.memory.charge(MemoryUse::Connections, header_bytes_max + CONNECTION_BYTES);
+        charge = core.connection_memory.charge(MemoryUse::Ordinary, header_bytes_max + CONNECTION_BYTES);
         charge.is_some()
     };
     if !core.make_room(Shortage::Connections, Some(&activity), charge_connection).await {
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -91,6 +91,8 @@
     /// The time budgets that callers state, by route.
     stated_budgets: Mutex<Vec<NamedEntry<CallerBudgets>>>,
     pub(crate) memory: MemoryAccount,
+    /// The part of `memory` for callers' connections.
+    pub(crate) connection_memory: MemoryAccount,
     pub(crate) callers: CallerConnections,
     /// Runs of targets that announced that they shut down, until the control thread takes them.
     leaving: Mutex<Vec<ReplicaRun>>,
@@ -102,8 +104,10 @@
 
 impl Core {
     pub(crate) fn new(options: Options) -> Self {
+        let memory = MemoryAccount::new(options.memory_bytes);
         Self {
-            memory: MemoryAccount::new(options.memory_bytes),
+            connection_memory: memory.connections(),
+            memory,
             callers: CallerConnections::default(),
             lead_time: Mutex::new(LeadTimeEstimator::new(options.millicores, options.link_bytes_per_s)),
             options,
--- a/crates/front/src/memory_account.rs
+++ b/crates/front/src/memory_account.rs
@@ -14,6 +14,9 @@
 /// The account's limit is the memory of the host divided by this. The rest is for the program, the
 /// registry, what the allocator keeps after memory is freed, and buffers that are not charged.
 const MEMORY_DIVISOR: usize = 2;
+/// Connections of callers take at most the account's limit divided by this, so that open connections leave
+/// room for requests.
+const CONNECTIONS_DIVISOR: usize = 4;
 /// A message to the control listener takes at most the account's limit divided by this, but may have at
 /// least 1 MiB: it names all hosts, and answers, which are larger, are limited apart.
 const CONTROL_MESSAGE_DIVISOR: usize = 4;
@@ -29,15 +32,13 @@
 pub(crate) enum MemoryUse {
     /// Bodies of callers beyond the ordinary size, and copies of them for other hosts.
     LargeBodies,
-    /// Buffers of caller connections.
-    Connections,
     /// Messages of other hosts.
     Messages,
     /// Copies of a gather's head, one for each shard.
     Parts,
     /// Answers of targets, until they are written to callers.
     Answers,
-    /// Bodies of an ordinary size.
+    /// Bodies of an ordinary size, and buffers of connections.
     Ordinary,
 }
 
@@ -46,7 +47,7 @@
     fn percent(self) -> usize {
         match self {
             Self::LargeBodies => 50,
-            Self::Connections | Self::Messages | Self::Parts => 60,
+            Self::Messages | Self::Parts => 60,
             Self::Answers => 65,
             Self::Ordinary => 100,
         }
@@ -58,6 +59,8 @@
     limit: usize,
     charged: AtomicUsize,
     released: Notify,
+    /// The account of which this one is a part; all is charged to both.
+    whole: Option<MemoryAccount>,
 }
 
 /// The memory that traffic may take up; clones share it.
@@ -69,8 +72,38 @@
 impl MemoryAccount {
     /// Creates the account of a host with this much memory, in bytes.
     pub(crate) fn new(memory_bytes: usize) -> Self {
-        let limit = memory_bytes / MEMORY_DIVISOR;
-        Self(Arc::new(Account { limit, charged: AtomicUsize::new(0), released: Notify::new() }))
+        Self::with_limit(memory_bytes / MEMORY_DIVISOR, None)
+    }
+
+    /// Creates the part of this account that callers' connections may take up.
+    pub(crate) fn connections(&self) -> Self {
+        Self::with_limit(self.0.limit / CONNECTIONS_DIVISOR, Some(self.clone()))
+    }
+
+    fn with_limit(limit: usize, whole: Option<Self>) -> Self {
+        Self(Arc::new(Account { limit, charged: AtomicUsize::new(0), released: Notify::new(), whole }))
+    }
+
+    fn add(&self, purpose: MemoryUse, bytes: usize) -> bool {
+        let account = &self.0;
+        if account.whole.as_ref().is_some_and(|whole| !whole.add(purpose, bytes)) {
+            return false;
+        }
+        let most = account.limit / 100 * purpose.percent();
+        let add = |charged: usize| charged.checked_add(bytes).filter(|sum| *sum <= most);
+        let is_added = account.charged.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add).is_ok();
+        if !is_added && let Some(whole) = &account.whole {
+            whole.subtract(bytes);
+        }
+        is_added
+    }
+
+    fn subtract(&self, bytes: usize) {
+        self.0.charged.fetch_sub(bytes, Ordering::Relaxed);
+        self.0.released.notify_waiters();
+        if let Some(whole) = &self.0.whole {
+            whole.subtract(bytes);
+        }
     }
 
     /// Charges memory; returns `None` if the share of this use is full.
@@ -123,10 +156,7 @@
 impl Charge {
     /// Charges more memory; returns `false` and changes nothing if the share of this use is full.
     pub(crate) fn extend(&mut self, purpose: MemoryUse, bytes: usize) -> bool {
-        let account = &self.account.0;
-        let most = account.limit / 100 * purpose.percent();
-        let add = |charged: usize| charged.checked_add(bytes).filter(|sum| *sum <= most);
-        let is_charged = account.charged.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add).is_ok();
+        let is_charged = self.account.add(purpose, bytes);
         if is_charged {
             self.bytes += bytes;
         }
@@ -139,8 +169,7 @@
     fn release(&mut self, bytes: usize) {
         if bytes > 0 {
             self.bytes -= bytes;
-            self.account.0.charged.fetch_sub(bytes, Ordering::Relaxed);
-            self.account.0.released.notify_waiters();
+            self.account.subtract(bytes);
         }
     }
 }
@@ -242,4 +271,16 @@
         assert!(account.charged() <= account.limit() / 2);
         assert!(account.buffer(MemoryUse::LargeBodies, 1 << 18).add(&[0; 1000]));
     }
+    /// A flood of connections must leave room for large bodies, and its end must give back all.
+    #[test]
+    fn connections_take_a_quarter_of_the_account_at_most() {
+        let account = MemoryAccount::new(1 << 20);
+        let connections = account.connections();
+        let charge = || connections.charge(MemoryUse::Ordinary, 24 << 10);
+        let open: Vec<Charge> = std::iter::from_fn(charge).collect();
+        assert!(account.charged() > account.limit() / 5 && account.charged() <= account.limit() / 4);
+        assert_eq!(account.charged(), connections.charged());
+        drop(open);
+        assert_eq!((account.charged(), connections.charged()), (0, 0));
+    }
 }
