Evict for memory one connection at a time, and charge replies to other hosts

Cause: bodies that wait for memory at the same time evicted one connection each, although the first made room for others. Replies to a host that reads slowly were not charged. Connections to all targets were counted with each new connection.

Change: 2 ms between two evictions for memory; frames of replies are charged until they are written; the count is taken only once callers have an eighth of max_fds.

--- a/crates/front/src/caller_connections.rs
+++ b/crates/front/src/caller_connections.rs
@@ -31,10 +31,16 @@
 /// The host's descriptors divided by this stay free for files, the internal servers, and connections that are
 /// being opened.
 const RESERVED_FDS_DIVISOR: usize = 8;
+/// Callers may always have the host's descriptors divided by this; below it the connections to targets are not
+/// counted, which takes time with each new connection.
+const CALLERS_FDS_MIN_DIVISOR: usize = 8;
 /// A head up to this size is an ordinary one, in bytes.
 const ORDINARY_HEAD_BYTES: usize = 2 << 10;
 /// Each part of a gather holds its request's headers and their encoded form.
 const PART_HEADS: usize = 2;
+/// The minimum time between two evictions for memory. Bodies that wait for memory at the same time would evict
+/// one connection each, also where the first of them makes room for all.
+const MEMORY_EVICTION_INTERVAL: Duration = Duration::from_millis(2);
 /// The minimum time between two log lines of the same kind of shortage.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -42,6 +48,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct CallerConnections {
     open: Mutex<Vec<ActivityCell>>,
+    memory_evicted_at: Mutex<Option<Instant>>,
     memory_log: ShortageLog,
     connection_log: ShortageLog,
 }
@@ -95,8 +102,17 @@
         lock(&self.open).len()
     }
 
-    /// Evicts one connection; returns `false` if none may be evicted.
+    /// Evicts one connection; returns `false` if none may be evicted now.
     fn evict(&self, shortage: Shortage) -> bool {
+        if shortage == Shortage::Memory {
+            let now = now();
+            let mut evicted_at = lock(&self.memory_evicted_at);
+            let is_recent = |at: Instant| now.saturating_duration_since(at) < MEMORY_EVICTION_INTERVAL;
+            if evicted_at.is_some_and(is_recent) {
+                return false;
+            }
+            *evicted_at = Some(now);
+        }
         let open = lock(&self.open);
         let candidates = open.iter().filter_map(|activity| Some((activity, activity.load()?)));
         let evicted = choose_evicted(now(), shortage, candidates);
@@ -127,8 +143,12 @@
 
     /// Returns whether callers should give up connections that targets and other hosts need.
     pub(crate) fn is_short_of_descriptors(&self) -> bool {
+        let callers = self.callers.count();
+        if callers < self.options.fds_max / CALLERS_FDS_MIN_DIVISOR {
+            return false;
+        }
         let targets = self.targets.load().totals(now()).connections;
-        let used = self.callers.count() + targets + HOST_CONNECTIONS * self.known_hosts();
+        let used = callers + targets + HOST_CONNECTIONS * self.known_hosts();
         used > self.options.fds_max - self.options.fds_max / RESERVED_FDS_DIVISOR
     }
 
--- a/crates/front/src/gather_server.rs
+++ b/crates/front/src/gather_server.rs
@@ -138,6 +138,7 @@
     };
     see_closed_connection().await;
     let (tx, rx) = mpsc::unbounded_channel();
+    let shared = Arc::clone(&core);
     let task = tokio::spawn(async move {
         // Its charge covers the decoded copy, too.
         let _message = body;
@@ -150,7 +151,7 @@
             let _ = tx.send(GatherReply { held_us, ..reply });
         }
     });
-    accepted(rx, task)
+    accepted(shared, rx, task)
 }
 
 async fn respond_to_forward(core: Arc<Core>, arrived_at: Instant, body: Bytes) -> GatherResponse {
@@ -160,6 +161,7 @@
     };
     see_closed_connection().await;
     let (tx, rx) = mpsc::unbounded_channel();
+    let shared = Arc::clone(&core);
     let task = tokio::spawn(async move {
         // Its charge covers the decoded copy, too.
         let _message = body;
@@ -169,7 +171,7 @@
             let _ = tx.send(send_for_other(&core, route, &call, req, answer_at).await);
         }
     });
-    accepted(rx, task)
+    accepted(shared, rx, task)
 }
 
 /// Lets the HTTP library see whether the sender has closed the connection meanwhile and sent the request
@@ -182,14 +184,16 @@
 
 /// Returns the response of an accepted call. Its head is sent at once and tells the sender that the
 /// call is accepted. Replies follow as they become ready; the task is aborted when the sender closes the
-/// connection.
+/// connection. The body ends before a reply for which there is no memory.
 fn accepted<R: Framed + Send + 'static>(
+    core: Arc<Core>,
     replies: mpsc::UnboundedReceiver<R>,
     task: JoinHandle<()>,
 ) -> GatherResponse {
-    let frames = stream::unfold((replies, AbortOnDrop(task)), |(mut rx, task)| async move {
+    let frames = stream::unfold((core, replies, AbortOnDrop(task)), |(core, mut rx, task)| async move {
         let reply = rx.recv().await?;
-        Some((Ok::<_, Infallible>(Frame::data(encode_frame(&reply))), (rx, task)))
+        let frame = core.memory.hold(MemoryUse::Answers, encode_frame(&reply))?;
+        Some((Ok::<_, Infallible>(Frame::data(frame)), (core, rx, task)))
     });
     Response::new(StreamBody::new(frames).boxed_unsync())
 }
--- a/crates/front/src/memory_account.rs
+++ b/crates/front/src/memory_account.rs
@@ -120,6 +120,12 @@
         ChargedBuffer { bytes: Vec::new(), bytes_max, charge, purpose }
     }
 
+    /// Charges the memory of bytes until they are dropped; returns `None` if the share of this use is full.
+    pub(crate) fn hold(&self, purpose: MemoryUse, bytes: Bytes) -> Option<Bytes> {
+        let charge = self.charge(purpose, bytes.len())?;
+        Some(Bytes::from_owner(HeldBytes { bytes, _charge: charge }))
+    }
+
     /// Waits until memory is released.
     pub(crate) async fn released(&self) {
         self.0.released.notified().await;
@@ -180,6 +186,18 @@
     }
 }
 
+/// Bytes that were made elsewhere, with the charge of their memory.
+struct HeldBytes {
+    bytes: Bytes,
+    _charge: Charge,
+}
+
+impl AsRef<[u8]> for HeldBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 /// Bytes whose memory is charged until they are dropped.
 ///
 /// The buffer grows with the bytes that arrive, whatever length was announced.
