--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -8,6 +8,7 @@
 //! The path of a request:
 //!
 //! 1. `listener` and `caller_connection` accept connections and limit what callers may send;
+//!    `memory_account` charges what they hold, `caller_connections` evicts some when memory is short;
 //! 2. `caller_request` reads the whole request, `answer` finds its route;
 //! 3. a request for many shards goes to a gatherer, a host near their targets: `delegate` sends it,
 //!    `gather_server` receives it there;
