--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -130,6 +130,14 @@
     RequestForwarded = 526, "request forwarded";
     /// The mark of a crashing request ended, and this host sent it to one target; or what came of it.
     SuspectProbed = 527, "crashing request probed";
+    /// Callers' requests were refused, or their connections closed, for lack of memory.
+    MemoryShort = 530, "memory is short";
+    /// Callers' connections were closed to accept others.
+    ConnectionsShort = 531, "connection limit reached";
+    /// A message of another host was refused for lack of memory.
+    MessageRefused = 532, "message refused for lack of memory";
+    /// The configuration allows larger bodies than this host has memory for.
+    BodyLimitTooHigh = 533, "body limit too high for this host's memory";
     /// Gathers wait or are refused because the targets have queues.
     QueriesLimited = 535, "queries limited";
     /// The platform dropped the history after the last known revision.
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -6,7 +6,7 @@
 };
 
 use egret_events::{Code, log_event};
-use egret_policy::{GatherLimits, SuspectVerdict, weighted_draw};
+use egret_policy::{GatherLimits, Shortage, SuspectVerdict, weighted_draw};
 use egret_routes::{Backend, Route, RouteTable};
 use hyper::{
     Request, StatusCode,
@@ -24,10 +24,11 @@
     forward::{ForwardOptions, forward},
     forward_call::ForwardReply,
     gather::gather,
+    memory_account::MemoryUse,
     probe::probe,
     reply::{self, CallerReply},
     target_answer::TargetAnswer,
-    timed_io::Arrival,
+    timed_io::{ActivityCell, Arrival},
 };
 
 /// How long before its caller's deadline a request fails, so that the failure reaches the caller in
@@ -45,8 +46,16 @@
 /// The `Retry-After` of a request that may be served in no region, in seconds.
 const RETRY_AFTER_NO_HOME: f64 = 30.0;
 
+/// A request is not sent to targets if there is not even this much memory for its answer, in bytes.
+const ANSWER_ROOM_MIN: usize = 16 << 10;
+
 /// Answers a caller's request.
-pub(crate) async fn answer(core: Arc<Core>, req: Request<Incoming>, arrival: Arrival) -> CallerReply {
+pub(crate) async fn answer(
+    core: Arc<Core>,
+    req: Request<Incoming>,
+    arrival: Arrival,
+    activity: &ActivityCell,
+) -> CallerReply {
     // Where a request has both a length and chunks, the HTTP library drops the length. The bytes
     // after the chunks may have been meant as a part of the body (request smuggling), so the
     // connection is closed after any chunked request.
@@ -57,7 +66,7 @@
             "no configuration is known yet: try another host",
             Some(RETRY_AFTER_NO_TABLE),
         ),
-        Some(table) => match CallerRequest::read(req, &core.options.headers, table.limits(), arrival).await {
+        Some(table) => match CallerRequest::read(&core, req, table.limits(), arrival, activity).await {
             Ok(mut req) => {
                 if table.has_homes() {
                     req.homes = core.homes_of(&table, table.find(&req.host, req.path()), &req);
@@ -101,13 +110,21 @@
         }
         SuspectVerdict::Probe => return probe(core, route, &req).await,
     }
+    // A target must not run a request whose answer would be lost.
+    let has_room = || core.memory.charge(MemoryUse::Answers, ANSWER_ROOM_MIN).is_some();
+    if !core.make_room(Shortage::Memory, None, has_room).await {
+        return no_memory(&req, route);
+    }
     match &route.backend {
         Backend::One(service) => answer_from_one(core, route, service, &req).await,
         Backend::Split(parts) => match weighted_draw(parts.iter().map(|part| part.weight), fastrand::f64()) {
             Some(at) => answer_from_one(core, route, &parts[at].service, &req).await,
             None => no_target(&req, route),
         },
-        Backend::Gather(plan) => gather(core, route, plan, &req).await,
+        Backend::Gather(plan) => match core.charge_parts(plan.shards.len(), &req.headers) {
+            Some(_charge) => gather(core, route, plan, &req).await,
+            None => no_memory(&req, route),
+        },
     }
 }
 
@@ -136,6 +153,12 @@
     reply::refused(StatusCode::SERVICE_UNAVAILABLE, reason, Some(RETRY_AFTER_NO_HOME))
 }
 
+fn no_memory(req: &CallerRequest, route: &Route) -> CallerReply {
+    req.log(Code::RequestRefused, &format!("route {}: no memory for its answer or its parts", route.name));
+    let reason = "there is no memory for the request now: come back later";
+    reply::refused(StatusCode::SERVICE_UNAVAILABLE, reason, Some(jittered(RETRY_AFTER_NO_TARGET)))
+}
+
 /// Answers a request that is still in flight when the process has to exit.
 fn unfinished(req: &CallerRequest) -> CallerReply {
     req.log(Code::RequestFailed, "this host shuts down, and no target has answered yet");
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -27,11 +27,12 @@
 use crate::{
     Mechanism, Options,
     admission::Admission,
-    answer_memory::AnswerMemory,
+    caller_connections::CallerConnections,
     clock::now,
     home_views::HomeViews,
     instruments::Instruments,
     limit_sharers::LimitSharers,
+    memory_account::MemoryAccount,
     route_latency::RouteLatency,
     target::Target,
     target_set::{TargetOptions, TargetSet},
@@ -48,8 +49,6 @@
 /// The minimum number of hosts among which limits are divided, because a host that just started
 /// knows few others.
 const SHARING_HOSTS_MIN: usize = 12;
-/// Responses of targets may take up the host's memory divided by this.
-const ANSWERS_MEMORY_DIVISOR: usize = 4;
 
 /// An entry of a vector that is sorted by name and serves as a map.
 #[derive(Debug)]
@@ -101,7 +100,10 @@
     request_costs: Mutex<RequestCosts>,
     /// When callers that were refused may return, by service.
     return_schedules: Mutex<Vec<NamedEntry<ReturnSchedule>>>,
-    pub(crate) answer_memory: AnswerMemory,
+    pub(crate) memory: MemoryAccount,
+    /// The part of `memory` for callers' connections.
+    pub(crate) connection_memory: MemoryAccount,
+    pub(crate) callers: CallerConnections,
     /// The gathers that run or wait on this host.
     pub(crate) admission: Mutex<Admission>,
     /// Runs of targets that announced that they shut down, until the control thread takes them.
@@ -114,8 +116,11 @@
 
 impl Core {
     pub(crate) fn new(options: Options) -> Self {
+        let memory = MemoryAccount::new(options.memory_bytes);
         Self {
-            answer_memory: AnswerMemory::new(options.memory_bytes / ANSWERS_MEMORY_DIVISOR),
+            connection_memory: memory.connections(),
+            memory,
+            callers: CallerConnections::default(),
             lead_time: Mutex::new(LeadTimeEstimator::new(options.millicores, options.link_bytes_per_s)),
             options,
             table: ArcSwapOption::default(),
@@ -150,6 +155,7 @@
     }
 
     pub(crate) fn set_table(&self, table: Arc<RouteTable>) {
+        self.check_body_limit(table.limits());
         self.table.store(Some(table));
     }
 
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -8,6 +8,7 @@
 //! The path of a request:
 //!
 //! 1. `listener` and `caller_connection` accept connections and limit what callers may send;
+//!    `memory_account` charges what they hold, `caller_connections` evicts some when memory is short;
 //! 2. `caller_request` reads the whole request, `answer` finds its route;
 //! 3. a request for many shards goes to a gatherer, a host near their targets: `delegate` sends it,
 //!    `gather_server` receives it there;
@@ -23,13 +24,15 @@
 
 mod admission;
 mod answer;
-mod answer_memory;
 mod bounded_io;
+mod caller_body;
 mod caller_connection;
+mod caller_connections;
 mod caller_request;
 mod carried_headers;
 mod clock;
 mod connection;
+mod connection_limit;
 mod core;
 mod delegate;
 mod deletion_guard;
@@ -54,6 +57,7 @@
 mod limit_sharers;
 mod listener;
 mod mechanism;
+mod memory_account;
 mod metrics_site;
 mod options;
 mod parts_sender;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -45,6 +45,7 @@
 //! - [`WarmUpLimits`], [`warm_up_owner`]: the limit on requests to a replica that warms up.
 //! - [`RequestCosts`], [`TargetBacklog`], [`refusal`]: the cost of single requests and where they go.
 //! - [`ReturnSchedule`]: when callers that were refused may return.
+//! - [`choose_evicted`]: the caller connection to close when memory or descriptors are short.
 //! - [`LeadTimeEstimator`]: how long before its latency objective an answer must be made.
 //!
 //! docs/DESIGN.md explains the trade-offs of each.
@@ -54,6 +55,7 @@
 mod baseline;
 mod block_owners;
 mod caller_budgets;
+mod caller_eviction;
 mod concurrency_limit;
 mod contention;
 mod crash_evidence;
@@ -96,6 +98,7 @@
 pub use baseline::{Baseline, BaselineError};
 pub use block_owners::{OWNER_CANDIDATES, RelayHost, owner_candidates};
 pub use caller_budgets::CallerBudgets;
+pub use caller_eviction::{ConnectionLoad, ConnectionPhase, Shortage, choose_evicted};
 pub use concurrency_limit::ConcurrencyLimit;
 pub use contention::Contention;
 pub use crash_evidence::{ConnectOutcome, CrashEvidence};
