--- a/crates/policy/src/query_admission.rs
+++ b/crates/policy/src/query_admission.rs
@@ -104,7 +104,7 @@
     pub fn offer(&mut self, now: Instant, query: QueryArrival) -> QueryVerdict {
         let kind = self.arrive(now, &query);
         let spent = Duration::from_secs_f64((kind.budget_s - query.budget.as_secs_f64()).max(0.0));
-        let rank = QueryRank { priority: query.priority, returning: self.returns.return_state(now, spent) };
+        let rank = QueryRank { priority: query.priority, returning: self.returns.redeem(now, spent) };
         let has_capacity = self.limit.allows(now, self.in_flight);
         let is_first = has_capacity && self.queue.is_first(now, rank) && self.shares.may_start(now, rank);
         if query.must_start || is_first {
--- a/crates/policy/src/return_promises.rs
+++ b/crates/policy/src/return_promises.rs
@@ -59,10 +59,9 @@
         return_at.saturating_duration_since(now)
     }
 
-    /// Returns whether a caller was refused before, and whether it returns as told. It spent `spent` of its time budget
-    /// before this request.
-    #[must_use]
-    pub fn return_state(&self, now: Instant, spent: Duration) -> ReturnState {
+    /// Returns whether a caller was refused before, and whether it returns as told, which it may do once. It spent `spent`
+    /// of its time budget before this request.
+    pub fn redeem(&mut self, now: Instant, spent: Duration) -> ReturnState {
         if spent + EARLY_MAX < RETURN_AFTER_MIN {
             return ReturnState::New;
         }
@@ -74,6 +73,13 @@
                 && return_at <= now + EARLY_MAX
                 && now <= return_at + LATE_MAX
         };
-        if self.promises.iter().any(is_this) { ReturnState::AsTold } else { ReturnState::Unpromised }
+        // Callers that could not be promised anything return at the same time as some that could.
+        match self.promises.iter().position(is_this) {
+            Some(at) => {
+                self.promises.remove(at);
+                ReturnState::AsTold
+            }
+            None => ReturnState::Unpromised,
+        }
     }
 }
