Ask the socket whether the sender of a gather has given up

The host relies on the HTTP library to read the end of the connection within two polls.

Change: before a gather or a forwarded request starts, the host peeks at the socket; a connection that its sender has closed starts nothing.

--- a/crates/front/src/gather_server.rs
+++ b/crates/front/src/gather_server.rs
@@ -41,6 +41,7 @@
     gather_options::GatherOptions,
     memory_account::MemoryUse,
     sent_to::SentTo,
+    shared_stream::SharedStream,
 };
 
 /// The limit of another host's message, in bytes: a caller's body and headers fit.
@@ -61,9 +62,11 @@
 /// Serves a connection of another host until it ends, or until `closing` becomes true and it is idle.
 pub(crate) async fn serve(core: Arc<Core>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
     let Some(_charge) = core.memory.charge(MemoryUse::Ordinary, BUFFER_BYTES) else { return };
+    let stream = SharedStream::new(stream);
+    let connected = stream.clone();
     let service = service_fn(move |req| {
-        let core = Arc::clone(&core);
-        async move { Ok::<_, Infallible>(respond(core, req).await) }
+        let (core, connected) = (Arc::clone(&core), connected.clone());
+        async move { Ok::<_, Infallible>(respond(core, &connected, req).await) }
     });
     let connection = http1::Builder::new()
         .max_buf_size(BUFFER_BYTES)
@@ -78,7 +81,7 @@
     let _ = connection.await;
 }
 
-async fn respond(core: Arc<Core>, req: Request<Incoming>) -> GatherResponse {
+async fn respond(core: Arc<Core>, connected: &SharedStream, req: Request<Incoming>) -> GatherResponse {
     let arrived_at = now();
     let is_gather = match req.uri().path() {
         GATHER_PATH => true,
@@ -98,6 +101,11 @@
     if core.is_partitioned() {
         return plain_text(StatusCode::SERVICE_UNAVAILABLE, "this host reaches no target\n");
     }
+    see_closed_connection().await;
+    if connected.is_closed_by_peer() {
+        // Nobody reads the response, and the sender may have sent the request elsewhere.
+        return plain_text(StatusCode::REQUEST_TIMEOUT, "the sender has given up\n");
+    }
     if is_gather {
         respond_to_gather(core, arrived_at, body).await
     } else {
@@ -139,7 +147,6 @@
     let Some(table) = core.table.load_full().filter(is_same) else {
         return other_configuration();
     };
-    see_closed_connection().await;
     let (tx, rx) = mpsc::unbounded_channel();
     let shared = Arc::clone(&core);
     let task = tokio::spawn(async move {
@@ -163,7 +170,6 @@
     let Some(table) = core.table.load_full().filter(|table| find_route(table, &call).is_some()) else {
         return other_configuration();
     };
-    see_closed_connection().await;
     let (tx, rx) = mpsc::unbounded_channel();
     let shared = Arc::clone(&core);
     let task = tokio::spawn(async move {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -68,6 +68,7 @@
 mod retry_after;
 mod route_latency;
 mod sent_to;
+mod shared_stream;
 mod store;
 mod store_cursor;
 mod store_reader;
--- /dev/null
+++ b/crates/front/src/shared_stream.rs
@@ -0,0 +1,94 @@
+//! A connection that can be asked whether its peer has closed it while the HTTP library serves it.
+
+use std::{
+    io,
+    mem::MaybeUninit,
+    net::Shutdown,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll, ready},
+};
+
+use socket2::SockRef;
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+/// A connection that can be asked whether its peer has closed it; clones share it.
+///
+/// The HTTP library sees the end of a connection when it reads again, which a busy host does too late to start nothing
+/// for a peer that has given up.
+#[derive(Clone, Debug)]
+pub(crate) struct SharedStream(Arc<TcpStream>);
+
+impl SharedStream {
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        Self(Arc::new(stream))
+    }
+
+    /// Returns whether the peer has closed the connection and nothing is left to read before its end.
+    pub(crate) fn is_closed_by_peer(&self) -> bool {
+        let mut next = [MaybeUninit::uninit()];
+        match SockRef::from(&*self.0).peek(&mut next) {
+            Ok(bytes) => bytes == 0,
+            Err(error) => error.kind() == io::ErrorKind::ConnectionReset,
+        }
+    }
+
+    fn poll_write_with(
+        &self,
+        cx: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(cx))?;
+            match write(&self.0) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                result => return Poll::Ready(result),
+            }
+        }
+    }
+}
+
+impl AsyncRead for SharedStream {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.0.poll_read_ready(cx))?;
+            match self.0.try_read(buf.initialize_unfilled()) {
+                Ok(bytes) => {
+                    buf.advance(bytes);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for SharedStream {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_write_with(cx, |stream| stream.try_write(buf))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.0).shutdown(Shutdown::Write))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_with(cx, |stream| stream.try_write_vectored(bufs))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+}
