Refuse no single request by a cost that is not known

A target that seems slow got no requests either while it had a free slot, so that its estimate stayed.

Change: an estimate refuses only once it rests on answers, and a free slot is used.

Tests: fuzz, placement of policy and platform green; the new cases of costs.rs fail without the change.

--- a/crates/front/src/core/request_cost.rs
+++ b/crates/front/src/core/request_cost.rs
@@ -31,6 +31,7 @@
         Some(RequestWork {
             cost: costs.expected(now(), shape(route, req), typical),
             mean_cost: costs.mean(now(), &route.name, typical),
+            is_cost_known: costs.is_known(now(), &route.name),
             objective,
             is_late: spent.is_some_and(|spent| spent >= objective),
         })
--- a/crates/front/src/fan_out/attempts.rs
+++ b/crates/front/src/fan_out/attempts.rs
@@ -50,10 +50,6 @@
             self.refuse_placement(shard, retry_after);
             return None;
         }
-        if self.placed_work.is_some() {
-            self.core.with_return_schedule(service, |schedule| schedule.record_served(now()));
-            self.core.instruments.placement("sent");
-        }
         if self.delivered[shard] == 0 && !self.options.is_repeat {
             self.core.credit_extra_attempt_budget(now(), service, self.is_gather);
         } else if !self.core.try_spend_extra_attempt_budget(now(), service, self.is_gather) {
@@ -64,6 +60,10 @@
         } else {
             self.result.extra_attempts += 1;
         }
+        if self.placed_work.is_some() {
+            self.core.with_return_schedule(service, |schedule| schedule.record_served(now()));
+            self.core.instruments.placement("sent");
+        }
         self.record_sent(shard, &target);
         Some(NextAttempt { shard, target })
     }
--- a/crates/front/src/fan_out/placement.rs
+++ b/crates/front/src/fan_out/placement.rs
@@ -52,6 +52,7 @@
         let until_objective = limits.objective_at.saturating_duration_since(now);
         let request = PlacementRequest {
             mean_cost: work.mean_cost,
+            is_cost_known: work.is_cost_known,
             objective: work.objective,
             until_objective: if work.is_late { Duration::ZERO } else { until_objective },
             until_deadline: limits.deadline.saturating_duration_since(now),
--- a/crates/front/src/request_work.rs
+++ b/crates/front/src/request_work.rs
@@ -9,6 +9,8 @@
     pub(crate) cost: Duration,
     /// The mean service time of the requests of its route.
     pub(crate) mean_cost: Duration,
+    /// Whether that mean was learned from answers.
+    pub(crate) is_cost_known: bool,
     /// The route's latency objective.
     pub(crate) objective: Duration,
     /// Whether its caller spent the whole objective on earlier attempts, so that every answer is late.
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -27,6 +27,8 @@
 pub struct PlacementRequest {
     /// The mean cost of the requests of its route.
     pub mean_cost: Duration,
+    /// Whether that mean was learned from answers.
+    pub is_cost_known: bool,
     /// The route's latency objective.
     pub objective: Duration,
     /// What is left until the answer is late; zero for a caller that came back too late to be in time.
@@ -47,10 +49,17 @@
     if !best.full_left.is_zero() {
         return clamp(best.full_left);
     }
-    if best.completion >= request.until_deadline {
-        return clamp(best.completion - request.until_deadline);
+    // Nothing is refused by a cost that is not known yet, and a free slot is used even if its target seems slow:
+    // without requests neither estimate would ever be corrected.
+    let completion = match (request.is_cost_known, best.has_free_slot) {
+        (false, _) => Duration::ZERO,
+        (true, true) => best.completion.min(request.mean_cost),
+        (true, false) => best.completion,
+    };
+    if completion >= request.until_deadline {
+        return clamp(best.completion.saturating_sub(request.until_deadline));
     }
-    if best.completion <= request.until_objective || best.has_free_slot {
+    if completion <= request.until_objective || best.has_free_slot {
         return None;
     }
     let wait_max = request.objective.saturating_sub(request.mean_cost).mul_f64(LATE_WAIT_SHARE);
--- a/crates/policy/src/request_cost.rs
+++ b/crates/policy/src/request_cost.rs
@@ -83,6 +83,12 @@
         self.estimate(now, &[route_key(route)], typical)
     }
 
+    /// Returns whether the mean service time of a route's requests rests on samples more than on its typical latency.
+    #[must_use]
+    pub fn is_known(&self, now: Instant, route: &str) -> bool {
+        self.find(route_key(route)).is_some_and(|entry| entry.weight(now) >= COARSER_WEIGHT)
+    }
+
     /// Records the service time of a request; `weight` is the sample's reliability, from 0 to 1.
     pub fn record(&mut self, now: Instant, shape: RequestShape<'_>, service_time: Duration, weight: f64) {
         self.entries.resize(ENTRIES, None);
--- a/crates/policy/tests/placement/costs.rs
+++ b/crates/policy/tests/placement/costs.rs
@@ -112,6 +112,7 @@
 
 fn asked() -> PlacementRequest {
     PlacementRequest {
+        is_cost_known: true,
         mean_cost: ms(160),
         objective: ms(600),
         until_objective: ms(580),
@@ -146,6 +147,11 @@
     assert_eq!(refusal(asked(), full), Some(ms(80)));
     let short = PlacementRequest { until_objective: ms(50), until_deadline: ms(100), ..asked() };
     assert!(refusal(short, target(0, 160)).is_some());
+    // Nothing could correct the estimate if requests were refused by it before the first answer.
+    let unknown = PlacementRequest { is_cost_known: false, ..short };
+    assert_eq!(refusal(unknown, target(0, 160)), None);
+    let slow = PlacementTarget { completion: ms(20_000), ..target(0, 160) };
+    assert_eq!(refusal(asked(), slow), None);
 }
 
 /// Guards against callers that are refused together, return together and are refused again.
--- a/crates/policy/tests/placement/simulation.rs
+++ b/crates/policy/tests/placement/simulation.rs
@@ -273,6 +273,7 @@
             limit.saturating_duration_since(now)
         };
         let asked = PlacementRequest {
+            is_cost_known: true,
             mean_cost,
             objective: Duration::from_millis(self.setting.objective_ms),
             until_objective: left(self.setting.objective_ms),
