Mend what the review of admission found

A large X-Deadline-Ms made all other callers count as returning; a query whose caller left while it was being started ended twice; a lower priority that waits did not get its share while a higher one waited, too; callers that were refused after a wait were never recognised; a paused queue was checked without pause; a limit stayed low once targets stopped reporting, and a lone index was never forgotten; gathers without any part counted as short ones; before the first sample far too many gathers were queued.

Found by reading, with trials on a copy for most; the tests of admission are green.

--- a/crates/front/src/admission.rs
+++ b/crates/front/src/admission.rs
@@ -43,7 +43,7 @@
 /// Totals over all indexes, for metrics.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct AdmissionTotals {
-    /// The lowest limit on the queries in flight.
+    /// The lowest limit on the queries in flight; zero where there is no index.
     pub(crate) limit: f64,
     pub(crate) in_flight: usize,
     pub(crate) queued: usize,
@@ -59,9 +59,12 @@
 
 impl Admission {
     fn index(&mut self, now: Instant, index: u64) -> &mut IndexQueries {
+        self.indexes.retain(|entry| {
+            let (_, in_flight, queued) = entry.queries.load();
+            in_flight + queued > 0 || now.saturating_duration_since(entry.used_at) < INDEX_TTL
+        });
         let found = self.indexes.binary_search_by_key(&index, |entry| entry.index);
         let at = found.unwrap_or_else(|_| {
-            self.indexes.retain(|entry| now.saturating_duration_since(entry.used_at) < INDEX_TTL);
             let at = self.indexes.partition_point(|entry| entry.index < index);
             let queries = QueryAdmission::default();
             let entry = IndexQueries { index, queries, waiting: Vec::new(), used_at: now, logged_at: None };
@@ -75,10 +78,10 @@
 
     /// Returns the totals over all indexes.
     pub(crate) fn totals(&self) -> AdmissionTotals {
-        let mut totals = AdmissionTotals { limit: f64::INFINITY, ..AdmissionTotals::default() };
-        for entry in &self.indexes {
+        let mut totals = AdmissionTotals::default();
+        for (at, entry) in self.indexes.iter().enumerate() {
             let (limit, in_flight, queued) = entry.queries.load();
-            totals.limit = totals.limit.min(limit);
+            totals.limit = if at == 0 { limit } else { totals.limit.min(limit) };
             totals.in_flight += in_flight;
             totals.queued += queued;
         }
@@ -95,11 +98,9 @@
                 return;
             }
             for id in started {
-                let sender = self.waiting.iter().position(|(waiting, _)| *waiting == id);
-                let sender = sender.map(|at| self.waiting.swap_remove(at).1);
-                if sender.is_none_or(|sender| sender.send(()).is_err()) {
-                    // Its caller no longer waits.
-                    self.queries.end(now, None);
+                if let Some(at) = self.waiting.iter().position(|(waiting, _)| *waiting == id) {
+                    // If its caller no longer waits, its guard ends the query.
+                    let _ = self.waiting.swap_remove(at).1.send(());
                 }
             }
         }
@@ -192,7 +193,8 @@
             objective,
             arrived_at: req.arrived_at,
             due_at: options.answer_at,
-            budget: req.deadline,
+            // A deadline beyond the route's timeout is not what its callers usually state.
+            budget: req.deadline.min(Duration::from_millis(route.timeout_ms)),
             must_start: options.is_repeat,
         };
         let entry = admission.index(began_at, index);
@@ -236,7 +238,10 @@
             match expired {
                 Some(after) => Err(refused(core, route, index, after, "expired")),
                 // It was started in the moment in which its time ended.
-                None => Ok(admitted(now)),
+                None => {
+                    core.instruments.admission("queued");
+                    Ok(admitted(now))
+                }
             }
         }
     }
@@ -245,8 +250,9 @@
 /// Waits for the start of a query in the queue; returns whether it came by `until`.
 async fn wait(core: &Core, index: u64, mut started: oneshot::Receiver<()>, until: Instant) -> bool {
     loop {
-        let paused_until = core.admission().index(now(), index).queries.paused_until();
-        let wake_at = paused_until.unwrap_or(until).min(now() + QUEUE_CHECK_INTERVAL).min(until);
+        let checked_at = now();
+        let paused_until = core.admission().index(checked_at, index).queries.paused_until(checked_at);
+        let wake_at = paused_until.unwrap_or(until).min(checked_at + QUEUE_CHECK_INTERVAL).min(until);
         tokio::select! {
             biased;
             is_started = &mut started => return is_started.is_ok(),
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -23,6 +23,7 @@
     fan_out_result::FanOutResult,
     gather_call::GatherReply,
     gather_options::GatherOptions,
+    memory_account::MemoryUse,
     parts_sender::PartsSender,
     reply::{self, CallerReply, DueAt},
 };
@@ -68,7 +69,11 @@
     if missing == 0 {
         core.suspects().record_answer(now(), req.fingerprint);
     }
-    let mut reply = reply::gathered(req, &core.options.headers, &receipts, missing, outcome.records);
+    let Some(records) = core.memory.hold(MemoryUse::Answers, outcome.records) else {
+        req.log(Code::RequestFailed, "no memory for the merged records");
+        return no_answer(req, route, true, None);
+    };
+    let mut reply = reply::gathered(req, &core.options.headers, &receipts, missing, records);
     if let Some(due_at) = due_at {
         reply.extensions_mut().insert(DueAt(due_at));
     }
@@ -158,7 +163,10 @@
     fan_options.is_repeat = options.is_repeat;
     fan_options.may_use_remote_gatherers = true;
     let result = fan_out(core, req, route, &plan.shards, fan_options, None).await;
-    if let Some(admitted) = &mut admitted {
+    // A gather without any part says nothing about durations and queues.
+    if let Some(admitted) = &mut admitted
+        && (result.is_enough || !result.queued_per_slot.is_empty())
+    {
         admitted.report(common_queue(&result.queued_per_slot), fan_options.typical_latency);
     }
     log_result(req, route, &result);
--- a/crates/policy/src/admission_queue.rs
+++ b/crates/policy/src/admission_queue.rs
@@ -15,8 +15,10 @@
     pub queued_at: Instant,
     /// When it can no longer be answered in time, or promptly refused.
     pub wait_until: Instant,
+    /// When its caller first asked.
+    pub asked_at: Instant,
     /// How long its caller can wait before it returns, if it is refused.
-    pub patience: Duration,
+    pub return_within: Duration,
 }
 
 impl QueuedQuery {
--- a/crates/policy/src/concurrency_limit.rs
+++ b/crates/policy/src/concurrency_limit.rs
@@ -59,12 +59,12 @@
     /// Records the end of a query that began at `began_at` with `in_flight` queries, itself included.
     ///
     /// `congestion` is the queueing delay that it found, as a multiple of the allowed one; `None` if it met no target
-    /// that reports its queue.
+    /// that reports its queue, which counts as none.
     pub fn record(&mut self, now: Instant, began_at: Instant, in_flight: usize, congestion: Option<f64>) {
         let duration = now.saturating_duration_since(began_at);
         let pause = (1.0 / self.limit - 1.0).max(0.0);
         self.paused_until = (pause > 0.0).then(|| now + duration.mul_f64(pause));
-        let Some(congestion) = congestion else { return };
+        let congestion = congestion.unwrap_or(0.0);
         if congestion > 1.0 {
             if self.decreased_at.is_none_or(|at| began_at >= at) {
                 let decrease = (DECREASE_MAX * (congestion - 1.0)).min(DECREASE_MAX);
--- a/crates/policy/src/query_admission.rs
+++ b/crates/policy/src/query_admission.rs
@@ -14,7 +14,7 @@
 /// How long a query may wait before it starts, as a share of its objective: a refusal must come that early to be of use.
 const WAIT_OBJECTIVE_SHARE: f64 = 0.25;
 /// The share of the time that it has left after which a caller that was told to wait returns at the latest.
-const PATIENCE_SHARE: f64 = 1.0 / 3.0;
+const RETURN_WITHIN_SHARE: f64 = 1.0 / 3.0;
 /// The share of the targets, those with the shortest queues, that show how loaded the index is.
 const COMMON_SHARE: f64 = 2.0 / 3.0;
 /// The weight of a new sample in moving averages.
@@ -72,7 +72,7 @@
     pub service_time: Duration,
 }
 
-/// The queries of one route, as far as admission tells them apart.
+/// The queries of the routes with one priority and objective, which admission does not tell apart.
 #[derive(Clone, Copy, Debug)]
 struct QueryKind {
     priority: u32,
@@ -104,7 +104,9 @@
     pub fn offer(&mut self, now: Instant, query: QueryArrival) -> QueryVerdict {
         let kind = self.arrive(now, &query);
         let spent = Duration::from_secs_f64((kind.budget_s - query.budget.as_secs_f64()).max(0.0));
-        let rank = QueryRank { priority: query.priority, returning: self.returns.redeem(now, spent) };
+        let asked_at = query.arrived_at.checked_sub(spent).unwrap_or(query.arrived_at);
+        let returning = self.returns.redeem(now, spent, asked_at);
+        let rank = QueryRank { priority: query.priority, returning };
         let has_capacity = self.limit.allows(now, self.in_flight);
         let is_first = has_capacity && self.queue.is_first(now, rank) && self.shares.may_start(now, rank);
         if query.must_start || is_first {
@@ -124,11 +126,12 @@
             rank,
             queued_at: now,
             wait_until,
-            patience: left.mul_f64(PATIENCE_SHARE),
+            asked_at,
+            return_within: left.mul_f64(RETURN_WITHIN_SHARE),
         };
         let expected_wait = (self.queue.ahead_of(&queued) + 1) as f64 / self.starts_per_s();
         if now + Duration::from_secs_f64(expected_wait) > wait_until {
-            return QueryVerdict::Refuse(self.refuse(now, queued.patience));
+            return QueryVerdict::Refuse(self.refuse(now, &queued));
         }
         self.queue.push(queued);
         QueryVerdict::Wait(wait_until)
@@ -144,7 +147,10 @@
         let mut started = Vec::new();
         while self.limit.allows(now, self.in_flight) {
             let shares = &self.shares;
-            let Some(query) = self.queue.pop(now, |rank| shares.may_start(now, rank)) else { break };
+            let owed = self.queue.pop(now, |rank| shares.is_owed(now, rank));
+            let Some(query) = owed.or_else(|| self.queue.pop(now, |rank| shares.may_start(now, rank))) else {
+                break;
+            };
             self.start(now, query.rank);
             started.push(query.id);
         }
@@ -153,8 +159,9 @@
 
     /// Returns when to call [`Self::start_queued`] again although no query ends before: the limit is below one.
     #[must_use]
-    pub fn paused_until(&self) -> Option<Instant> {
-        self.limit.paused_until().filter(|_| self.in_flight == 0 && !self.queue.is_empty())
+    pub fn paused_until(&self, now: Instant) -> Option<Instant> {
+        let is_waiting = self.in_flight == 0 && !self.queue.is_empty();
+        self.limit.paused_until().filter(|until| is_waiting && *until > now)
     }
 
     /// Removes a query from the queue whose caller no longer waits; returns whether it was there.
@@ -164,7 +171,7 @@
 
     /// Refuses a query that has waited for too long; returns when its caller may return, or `None` if it has started.
     pub fn expire(&mut self, now: Instant, id: u64) -> Option<Duration> {
-        self.queue.remove(id).map(|query| self.refuse(now, query.patience))
+        self.queue.remove(id).map(|query| self.refuse(now, &query))
     }
 
     /// Records the end of a query that started; `None` if it was abandoned.
@@ -189,13 +196,16 @@
         (self.limit.limit(), self.in_flight, self.queue.len())
     }
 
-    fn refuse(&mut self, now: Instant, patience: Duration) -> Duration {
+    fn refuse(&mut self, now: Instant, query: &QueuedQuery) -> Duration {
         let starts_per_s = self.starts_per_s();
-        self.returns.promise(now, starts_per_s, patience)
+        self.returns.promise(now, query.asked_at, starts_per_s, query.return_within)
     }
 
     fn starts_per_s(&self) -> f64 {
-        self.limit.starts_per_s(Duration::from_secs_f64(self.duration_s))
+        let shortest =
+            || self.kinds.iter().map(|kind| kind.duration_s).fold(f64::INFINITY, f64::min).min(1.0);
+        let duration_s = if self.duration_s == 0.0 { shortest() } else { self.duration_s };
+        self.limit.starts_per_s(Duration::from_secs_f64(duration_s))
     }
 
     /// Returns the queueing delay at the targets at which all kinds of queries can still be in time.
--- a/crates/policy/src/return_promises.rs
+++ b/crates/policy/src/return_promises.rs
@@ -24,7 +24,8 @@
 /// A caller that was refused and told when to return.
 #[derive(Clone, Copy, Debug)]
 struct Promise {
-    refused_at: Instant,
+    /// When its caller first asked, which the time budget of each of its requests shows.
+    asked_at: Instant,
     return_at: Instant,
 }
 
@@ -32,44 +33,49 @@
 ///
 /// A constant time would bring all of them back at once, to be refused again. Under a lasting overload most cannot be
 /// promised anything. A caller may return to another host, whose schedule is similar under the same load; so whether it
-/// returns as told is judged by how long ago it was refused.
+/// returns as told is judged by when it first asked.
 #[derive(Clone, Debug, Default)]
 pub struct ReturnPromises {
     next_return_at: Option<Instant>,
-    /// Sorted by the time of the refusal.
+    /// In the order of the refusals.
     promises: VecDeque<Promise>,
 }
 
 impl ReturnPromises {
     /// Returns after what time a caller that is refused now should return, and promises it a start then.
     ///
-    /// A caller that cannot wait that long, beyond `patience`, is promised nothing.
-    pub fn promise(&mut self, now: Instant, starts_per_s: f64, patience: Duration) -> Duration {
+    /// A caller that first asked at `asked_at` and cannot wait that long, only `return_within`, is promised nothing.
+    pub fn promise(
+        &mut self,
+        now: Instant,
+        asked_at: Instant,
+        starts_per_s: f64,
+        return_within: Duration,
+    ) -> Duration {
         let spacing = Duration::from_secs_f64(1.0 / (starts_per_s * PROMISED_SHARE).max(0.1));
         let earliest = now + RETURN_AFTER_MIN;
         let return_at = self.next_return_at.map_or(earliest, |at| (at + spacing).max(earliest));
-        if return_at > now + patience {
+        if return_at > now + return_within {
             return RETURN_AFTER_MAX;
         }
         self.next_return_at = Some(return_at);
         if self.promises.len() == PROMISES_MAX {
             self.promises.pop_front();
         }
-        self.promises.push_back(Promise { refused_at: now, return_at });
+        self.promises.push_back(Promise { asked_at, return_at });
         return_at.saturating_duration_since(now)
     }
 
     /// Returns whether a caller was refused before, and whether it returns as told, which it may do once. It spent `spent`
-    /// of its time budget before this request.
-    pub fn redeem(&mut self, now: Instant, spent: Duration) -> ReturnState {
+    /// of its time budget before this request, and first asked at `asked_at`.
+    pub fn redeem(&mut self, now: Instant, spent: Duration, asked_at: Instant) -> ReturnState {
         if spent + EARLY_MAX < RETURN_AFTER_MIN {
             return ReturnState::New;
         }
-        let refused_at = now.checked_sub(spent).unwrap_or(now);
         let is_this = |promise: &Promise| {
             let return_at = promise.return_at;
-            promise.refused_at <= refused_at + EARLY_MAX
-                && refused_at <= promise.refused_at + EARLY_MAX
+            promise.asked_at <= asked_at + EARLY_MAX
+                && asked_at <= promise.asked_at + EARLY_MAX
                 && return_at <= now + EARLY_MAX
                 && now <= return_at + LATE_MAX
         };
--- a/crates/policy/src/start_shares.rs
+++ b/crates/policy/src/start_shares.rs
@@ -45,6 +45,12 @@
         self.find(rank).is_ok_and(|at| self.ranks[at].saved_starts >= 1.0)
     }
 
+    /// Returns whether a rank may start a query out of its share, ahead of higher ones.
+    #[must_use]
+    pub fn is_owed(&self, now: Instant, rank: QueryRank) -> bool {
+        self.find(rank).is_ok_and(|at| self.ranks[at].saved_starts >= 1.0) && self.may_start(now, rank)
+    }
+
     /// Records that a query of this rank waits or is refused.
     pub fn record_contention(&mut self, now: Instant, rank: QueryRank) {
         let at = self.insert(now, rank);
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -97,18 +97,18 @@
     let now = Instant::now();
     let mut promises = ReturnPromises::default();
     let patience = ms(800);
-    let told: Vec<Duration> = (0..50).map(|_| promises.promise(now, 100.0, patience)).collect();
+    let told: Vec<Duration> = (0..50).map(|_| promises.promise(now, now, 100.0, patience)).collect();
     let kept: Vec<Duration> = told.iter().copied().filter(|told| *told <= patience).collect();
     assert!((6..=9).contains(&kept.len()), "{kept:?}");
     assert!(kept.windows(2).all(|pair| pair[1] >= pair[0] + ms(90)), "{kept:?}");
     assert!(told[20..].iter().all(|told| *told > ms(2500)), "promised what cannot be kept: {told:?}");
     // The first was told 50 ms, the second 100 ms later.
-    assert_eq!(promises.redeem(now + ms(15), ms(15)), ReturnState::New);
-    assert_eq!(promises.redeem(now + ms(450), ms(200)), ReturnState::Unpromised);
+    assert_eq!(promises.redeem(now + ms(15), ms(15), now), ReturnState::New);
+    assert_eq!(promises.redeem(now + ms(450), ms(200), now + ms(250)), ReturnState::Unpromised);
     for told in kept {
-        assert_eq!(promises.redeem(now + told, told), ReturnState::AsTold, "{told:?}");
+        assert_eq!(promises.redeem(now + told, told, now), ReturnState::AsTold, "{told:?}");
     }
-    assert_eq!(promises.redeem(now + ms(50), ms(50)), ReturnState::Unpromised, "redeemed twice");
+    assert_eq!(promises.redeem(now + ms(50), ms(50), now), ReturnState::Unpromised, "redeemed twice");
 }
 
 /// Guards against slow replicas that look like an overload: fewer queries would not shorten their queues.
