Mend what the review of the memory account, homes and probes found

Connection could remove the header of the caller's account, and with it its homes. A probe whose caller gives up was not counted.

Found by reading. Tests: untrusted_callers 13, homes 8, crashing_all 2, crashing_returns 3 and all of policy, front and node green; the order of evictions has a new case.

--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -111,7 +111,7 @@
         SuspectVerdict::Probe => return probe(core, route, &req).await,
     }
     // A target must not run a request whose answer would be lost.
-    let has_room = || core.memory.charge(MemoryUse::Answers, ANSWER_ROOM_MIN).is_some();
+    let has_room = || core.memory.has_room(MemoryUse::Answers, ANSWER_ROOM_MIN);
     if !core.make_room(Shortage::Memory, None, has_room).await {
         return no_memory(&req, route);
     }
@@ -121,10 +121,17 @@
             Some(at) => answer_from_one(core, route, &parts[at].service, &req).await,
             None => no_target(&req, route),
         },
-        Backend::Gather(plan) => match core.charge_parts(plan.shards.len(), &req.headers) {
-            Some(_charge) => gather(core, route, plan, &req).await,
-            None => no_memory(&req, route),
-        },
+        Backend::Gather(plan) => {
+            let mut parts = None;
+            let charge = || {
+                parts = core.charge_parts(plan.shards.len(), &req.headers);
+                parts.is_some()
+            };
+            if !core.make_room(Shortage::Memory, None, charge).await {
+                return no_memory(&req, route);
+            }
+            gather(core, route, plan, &req).await
+        }
     }
 }
 
@@ -260,7 +267,10 @@
 /// Answers a request that another host sent to a target.
 fn forwarded(core: &Core, route: &Route, req: &CallerRequest, reply: ForwardReply) -> CallerReply {
     match reply.answer.map(TargetAnswer::try_from) {
-        Some(Ok(answer)) => reply::relayed(answer, &core.options.headers),
+        Some(Ok(answer)) => match core.memory.hold(MemoryUse::Answers, answer.body.clone()) {
+            Some(body) => reply::relayed(TargetAnswer { body, ..answer }, &core.options.headers),
+            None => no_answer(req, route, true, None),
+        },
         Some(Err(error)) => {
             req.log(
                 Code::GathererFailed,
--- a/crates/front/src/caller_connections.rs
+++ b/crates/front/src/caller_connections.rs
@@ -195,7 +195,9 @@
                 continue;
             }
             // Elapsed: a release between the attempt and this wait was missed.
-            let _ = timeout(RELEASE_WAIT, self.memory.released()).await;
+            let account =
+                if shortage == Shortage::Connections { &self.connection_memory } else { &self.memory };
+            let _ = timeout(RELEASE_WAIT, account.released()).await;
         }
     }
 }
--- a/crates/front/src/caller_request.rs
+++ b/crates/front/src/caller_request.rs
@@ -92,7 +92,13 @@
         let body_timeout = deadline.min(Duration::from_millis(limits.idle_timeout_ms));
         let body = read_caller_body(core, body, limits, body_timeout, activity).await?;
         let mut headers = head.headers;
+        // The caller's account decides its homes, so `Connection` must not remove it.
+        let accounts: Vec<HeaderValue> = headers.get_all(&names.caller).iter().cloned().collect();
         remove_hop_by_hop(&mut headers);
+        headers.remove(&names.caller);
+        for account in accounts {
+            headers.append(names.caller.clone(), account);
+        }
         let uri = origin_form(head.uri);
         let fingerprint = fingerprint_of(&uri, &body);
         Ok(Self {
--- a/crates/front/src/core/homes.rs
+++ b/crates/front/src/core/homes.rs
@@ -13,7 +13,8 @@
     pub(crate) fn homes_of(&self, table: &RouteTable, route: Option<&Route>, req: &CallerRequest) -> Homes {
         let Some(route) = route else { return Homes::default() };
         let names = req.headers.get_all(&self.options.headers.caller);
-        table.homes(route, names.iter().filter_map(|name| name.to_str().ok()).map(str::trim))
+        let names = names.iter().filter_map(|name| std::str::from_utf8(name.as_bytes()).ok());
+        table.homes(route, names.flat_map(|names| names.split(',')).map(str::trim))
     }
 
     /// Returns the targets to which a request with these homes may be sent.
--- a/crates/front/src/delegate.rs
+++ b/crates/front/src/delegate.rs
@@ -24,6 +24,7 @@
     gather_call::{GatherCall, GatherReply},
     gather_frames::FrameReader,
     gather_options::GatherOptions,
+    memory_account::MemoryUse,
     target::{InFlightGuard, Target},
     target_set::PickFilter,
 };
@@ -226,6 +227,7 @@
 
 /// Asks a gatherer in another data centre for the parts of some shards of a plan.
 pub(crate) fn call_for_parts(
+    core: &Core,
     gatherer: Arc<Target>,
     route: &Route,
     req: &CallerRequest,
@@ -236,7 +238,15 @@
         Backend::Gather(plan) => message(route, plan, req, Some(shards), options),
         Backend::One(_) | Backend::Split(_) => Bytes::new(),
     };
-    call(gatherer, GATHER_PATH, route, message, end_at(route, req))
+    // Each message holds a copy of the body; without memory for it this host asks the targets itself.
+    let message = core.memory.hold(MemoryUse::Messages, message);
+    let called = message.map(|message| call(gatherer, GATHER_PATH, route, message, end_at(route, req)));
+    async move {
+        match called {
+            Some(called) => called.await,
+            None => Err(DelegateError::NotSent),
+        }
+    }
 }
 
 /// Sends a call to a gatherer and waits until it is accepted; returns the reader of its replies.
--- a/crates/front/src/fan_out/remote_gatherers.rs
+++ b/crates/front/src/fan_out/remote_gatherers.rs
@@ -82,7 +82,7 @@
         }
         let options =
             GatherOptions { is_repeat: self.options.is_repeat, answer_at: self.options.limits.objective_at };
-        let call = call_for_parts(gatherer, self.route, self.req, &shards, options);
+        let call = call_for_parts(self.core, gatherer, self.route, self.req, &shards, options);
         async move {
             let result = async {
                 let mut replies = call.await?;
--- a/crates/front/src/gather_server.rs
+++ b/crates/front/src/gather_server.rs
@@ -61,7 +61,8 @@
 
 /// Serves a connection of another host until it ends, or until `closing` becomes true and it is idle.
 pub(crate) async fn serve(core: Arc<Core>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
-    let Some(_charge) = core.memory.charge(MemoryUse::Ordinary, BUFFER_BYTES) else { return };
+    // Bounded by the listener. The sender would take a closed connection for a request that may have run.
+    let _charge = core.memory.charge_always(BUFFER_BYTES);
     let stream = SharedStream::new(stream);
     let connected = stream.clone();
     let service = service_fn(move |req| {
@@ -231,7 +232,8 @@
     }
     let shards = call.shards.as_ref().map_or(plan.shards.len(), Vec::len);
     let Some(_charge) = core.charge_parts(shards, &req.headers) else {
-        return GatherReply { may_have_run: options.is_repeat, ..GatherReply::not_run() };
+        let not_asked = call.shards.clone().unwrap_or_default();
+        return GatherReply { may_have_run: options.is_repeat, not_asked, ..GatherReply::not_run() };
     };
     let req = Arc::new(req);
     match &call.shards {
--- a/crates/front/src/memory_account.rs
+++ b/crates/front/src/memory_account.rs
@@ -86,14 +86,15 @@
 
     fn add(&self, purpose: MemoryUse, bytes: usize) -> bool {
         let account = &self.0;
-        if account.whole.as_ref().is_some_and(|whole| !whole.add(purpose, bytes)) {
-            return false;
-        }
         let most = account.limit / 100 * purpose.percent();
         let add = |charged: usize| charged.checked_add(bytes).filter(|sum| *sum <= most);
-        let is_added = account.charged.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add).is_ok();
-        if !is_added && let Some(whole) = &account.whole {
-            whole.subtract(bytes);
+        if account.charged.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add).is_err() {
+            return false;
+        }
+        let is_added = account.whole.as_ref().is_none_or(|whole| whole.add(purpose, bytes));
+        if !is_added {
+            // Nothing became free, so nobody is woken: each waiter would try again and evict a connection.
+            account.charged.fetch_sub(bytes, Ordering::Relaxed);
         }
         is_added
     }
@@ -112,6 +113,17 @@
         charge.extend(purpose, bytes).then_some(charge)
     }
 
+    /// Charges memory that is bounded otherwise, also beyond the limit.
+    pub(crate) fn charge_always(&self, bytes: usize) -> Charge {
+        self.0.charged.fetch_add(bytes, Ordering::Relaxed);
+        Charge { bytes, account: self.clone() }
+    }
+
+    /// Returns whether memory could be charged for this use now.
+    pub(crate) fn has_room(&self, purpose: MemoryUse, bytes: usize) -> bool {
+        self.charged() + bytes <= self.0.limit / 100 * purpose.percent()
+    }
+
     /// Creates an empty buffer whose capacity is charged as it grows.
     ///
     /// It is meant for at most `bytes_max` bytes, and reserves no more capacity than that ahead.
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -119,7 +119,9 @@
         let _guard = InFlightGuard::begin(&self.state);
         let announced =
             req.headers().get(header::CONTENT_LENGTH).and_then(|value| value.to_str().ok()?.parse().ok());
-        let bytes_max = announced.unwrap_or(self.limits.body_bytes).min(self.limits.body_bytes);
+        let is_chunked = req.headers().contains_key(header::TRANSFER_ENCODING);
+        let unannounced = if is_chunked { self.limits.body_bytes } else { 0 };
+        let bytes_max = announced.unwrap_or(unannounced).min(self.limits.body_bytes);
         let reserved = self.inner.reserve(bytes_max);
         let body = match &reserved {
             Some(_) => read_body(req, &self.limits).await,
--- a/crates/policy/src/caller_eviction.rs
+++ b/crates/policy/src/caller_eviction.rs
@@ -44,10 +44,13 @@
 /// An answer that is read at all makes progress within this time, in milliseconds.
 const READ_STALL_MIN_MS: u128 = 500;
 
+/// Requests that hold no more than this free too little to be worth closing while a larger one can be.
+const ORDINARY_BYTES: usize = 16 << 10;
+
 /// Chooses the connection to close; returns `None` if there is none that may be closed.
 ///
-/// Among unfinished requests, the one with the longest time without progress goes first; times are compared
-/// by their doublings. Among equals, the one that holds most goes first. A running request is never chosen,
+/// Among unfinished requests, large ones go before those of an ordinary size, and then the one with the longest
+/// time without progress; times are compared by their doublings. Among equals, the one that holds most goes first. A running request is never chosen,
 /// as its target may have run it. For connections, idle ones go before all others, the longest idle one
 /// first; for memory they are not chosen, as they hold little.
 pub fn choose_evicted<K>(
@@ -72,7 +75,8 @@
     match shortage {
         Shortage::Connections => Some((is_idle, stalled_ms, load.held_bytes)),
         Shortage::Memory => {
-            Some((false, u128::from((stalled_ms / STALL_UNIT_MS + 1).ilog2()), load.held_bytes))
+            let is_large = load.held_bytes > ORDINARY_BYTES;
+            Some((is_large, u128::from((stalled_ms / STALL_UNIT_MS + 1).ilog2()), load.held_bytes))
         }
     }
 }
--- a/crates/policy/src/suspects.rs
+++ b/crates/policy/src/suspects.rs
@@ -160,7 +160,7 @@
         let breaks = known.saturating_add(1);
         let is_shared = !alone && breaks == 1;
         let suspect_until = now + if is_shared { SHARED_SUSPECT_TTL } else { MARK_TTL };
-        let failed_probes = probed.map_or(0, |entry| (entry.failed_probes + 1).min(FAILED_PROBES_MAX));
+        let failed_probes = probed.map_or(0, |entry| entry.failed_probes);
         let probed_at = probed.and_then(|entry| entry.probed_at);
         self.insert(
             now,
@@ -191,6 +191,8 @@
         entry.arrived_at = now;
         if entry.may_probe(now) && is_prober() {
             entry.probed_at = Some(now);
+            // Counted when it begins: the end of a probe whose caller gives up is not seen.
+            entry.failed_probes = (entry.failed_probes + 1).min(FAILED_PROBES_MAX);
             return SuspectVerdict::Probe;
         }
         SuspectVerdict::Refuse
--- a/crates/policy/tests/caller_eviction.rs
+++ b/crates/policy/tests/caller_eviction.rs
@@ -32,6 +32,12 @@
     assert_eq!(chosen(Memory, &[(Body, 60, 1000), (Body, 5, 200_000), (Body, 20, 50_000)]), Some(1));
 }
 
+/// Small requests must not be closed one after the other for a large one: they free next to nothing.
+#[test]
+fn large_bodies_are_evicted_before_requests_of_an_ordinary_size() {
+    assert_eq!(chosen(Memory, &[(Body, 3000, 200), (Head, 2000, 0), (Body, 5, 200_000)]), Some(2));
+}
+
 /// A request that may be running must not be reported as not run.
 #[test]
 fn a_running_request_is_never_evicted() {
