--- a/crates/policy/src/query_admission.rs
+++ b/crates/policy/src/query_admission.rs
@@ -65,8 +65,8 @@
     pub objective: Duration,
     /// When it started.
     pub began_at: Instant,
-    /// The mean length of the queues at the targets whose parts it needed, as a multiple of their slots; `None` if no
-    /// target reported one.
+    /// The queue that most of its targets had, as a multiple of their slots ([`common_queue`]); `None` if none
+    /// reported one.
     pub queued_per_slot: Option<f64>,
     /// The typical service time of its parts.
     pub service_time: Duration,
