--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -30,10 +30,6 @@
 /// How often skipped services are checked for a target that can take the request now.
 const SKIPPED_CHECK_INTERVAL: Duration = Duration::from_millis(15);
 
-/// With the first poll the runtime reads the end of the connection, with the second one its task ends the fan-out, and
-/// the third one is for a runtime that polled this task first.
-const POLLS_UNTIL_CLOSE_IS_SEEN: usize = 3;
-
 /// What a fan-out runs next.
 enum Next {
     /// A request to one more target.
@@ -137,9 +133,6 @@
     if fan_out.lacks_targets() {
         return fan_out.refuse(&attempts);
     }
-    if services.len() > 1 {
-        see_closed_connection().await;
-    }
     running.extend(attempts.into_iter().map(|attempt| fan_out.run_attempt(attempt).boxed()));
     loop {
         fan_out.send_due_parts();
@@ -190,17 +183,6 @@
     }
 }
 
-/// Lets the runtime see whether the caller, or the host that asked for a gather, has closed the connection meanwhile; the
-/// fan-out is dropped then.
-///
-/// Choosing the targets of many shards takes a busy host hundreds of milliseconds, in which the other host gives up and
-/// sends the request elsewhere.
-async fn see_closed_connection() {
-    for _ in 0..POLLS_UNTIL_CLOSE_IS_SEEN {
-        tokio::task::yield_now().await;
-    }
-}
-
 /// Waits for the end of an attempt, the reply of a gatherer or the loss of all targets, at most until
 /// `until`; returns what to run next.
 async fn wait<F>(
