Promise no return within a pause, and let a query wait for its end

Cause: below a limit of one, a host runs one query at a time with a pause after it, in which it refuses. A refused caller was promised a start after 50 ms although the pause lasts up to three durations, and a query that could wait for its end was refused by the mean interval of starts.

Ruled out: that the limit stays low; the first gather after the pause raises it.

Change: promises start at the end of a pause, and the expected start of a query is that end while none is in flight.

--- a/crates/policy/src/query_admission.rs
+++ b/crates/policy/src/query_admission.rs
@@ -129,8 +129,7 @@
             asked_at,
             return_within: left.mul_f64(RETURN_WITHIN_SHARE),
         };
-        let expected_wait = (self.queue.ahead_of(&queued) + 1) as f64 / self.starts_per_s();
-        if now + Duration::from_secs_f64(expected_wait) > wait_until {
+        if self.expected_start(now, self.queue.ahead_of(&queued)) > wait_until {
             return QueryVerdict::Refuse(self.refuse(now, &queued));
         }
         self.queue.push(queued);
@@ -160,8 +159,7 @@
     /// Returns when to call [`Self::start_queued`] again although no query ends before: the limit is below one.
     #[must_use]
     pub fn paused_until(&self, now: Instant) -> Option<Instant> {
-        let is_waiting = self.in_flight == 0 && !self.queue.is_empty();
-        self.limit.paused_until().filter(|until| is_waiting && *until > now)
+        self.pause_end().filter(|until| !self.queue.is_empty() && *until > now)
     }
 
     /// Removes a query from the queue whose caller no longer waits; returns whether it was there.
@@ -196,9 +194,23 @@
         (self.limit.limit(), self.in_flight, self.queue.len())
     }
 
+    /// Returns when a query with `ahead` others before it is expected to start.
+    fn expected_start(&self, now: Instant, ahead: usize) -> Instant {
+        let interval = Duration::from_secs_f64(1.0 / self.starts_per_s());
+        // Without a query in flight a pause holds up the next start, and its end is known.
+        let next = self.pause_end().map_or(now + interval, |end| end.max(now));
+        next + interval.mul_f64(ahead as f64)
+    }
+
+    /// Returns when the pause ends that holds up the next start, if no query is in flight.
+    fn pause_end(&self) -> Option<Instant> {
+        self.limit.paused_until().filter(|_| self.in_flight == 0)
+    }
+
     fn refuse(&mut self, now: Instant, query: &QueuedQuery) -> Duration {
         let starts_per_s = self.starts_per_s();
-        self.returns.promise(now, query.asked_at, starts_per_s, query.return_within)
+        let not_before = self.pause_end().unwrap_or(now);
+        self.returns.promise(now, not_before, query.asked_at, starts_per_s, query.return_within)
     }
 
     fn starts_per_s(&self) -> f64 {
--- a/crates/policy/src/return_promises.rs
+++ b/crates/policy/src/return_promises.rs
@@ -42,18 +42,20 @@
 }
 
 impl ReturnPromises {
-    /// Returns after what time a caller that is refused now should return, and promises it a start then.
+    /// Returns after what time a caller that is refused now should return, and promises it a start then, not before
+    /// `not_before`.
     ///
     /// A caller that first asked at `asked_at` and cannot wait that long, only `return_within`, is promised nothing.
     pub fn promise(
         &mut self,
         now: Instant,
+        not_before: Instant,
         asked_at: Instant,
         starts_per_s: f64,
         return_within: Duration,
     ) -> Duration {
         let spacing = Duration::from_secs_f64(1.0 / (starts_per_s * PROMISED_SHARE).max(0.1));
-        let earliest = now + RETURN_AFTER_MIN;
+        let earliest = not_before.max(now + RETURN_AFTER_MIN);
         let return_at = self.next_return_at.map_or(earliest, |at| (at + spacing).max(earliest));
         if return_at > now + return_within {
             return RETURN_AFTER_MAX;
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -97,7 +97,7 @@
     let now = Instant::now();
     let mut promises = ReturnPromises::default();
     let patience = ms(800);
-    let told: Vec<Duration> = (0..50).map(|_| promises.promise(now, now, 100.0, patience)).collect();
+    let told: Vec<Duration> = (0..50).map(|_| promises.promise(now, now, now, 100.0, patience)).collect();
     let kept: Vec<Duration> = told.iter().copied().filter(|told| *told <= patience).collect();
     assert!((6..=9).contains(&kept.len()), "{kept:?}");
     assert!(kept.windows(2).all(|pair| pair[1] >= pair[0] + ms(90)), "{kept:?}");
@@ -111,6 +111,33 @@
     assert_eq!(promises.redeem(now + ms(50), ms(50), now), ReturnState::Unpromised, "redeemed twice");
 }
 
+/// Guards against promises of a return within the pause that a limit below one causes, and against refusals of queries
+/// that can wait for its end.
+#[test]
+fn a_query_during_a_pause_waits_for_its_end_or_is_told_to_return_after_it() {
+    let mut admission = QueryAdmission::default();
+    let mut now = Instant::now();
+    for id in 0..20 {
+        assert_eq!(admission.offer(now, arrival(now, id, 1)), QueryVerdict::Start, "query {id}");
+        now += ms(60);
+        end(&mut admission, now, now - ms(60), 6.0);
+        now += ms(500);
+    }
+    assert_eq!(admission.load().0, 0.25);
+    assert_eq!(admission.offer(now, arrival(now, 20, 1)), QueryVerdict::Start);
+    now += ms(60);
+    end(&mut admission, now, now - ms(60), 6.0);
+    // At a limit of 0.25, a pause of three durations follows each query.
+    let pause = ms(180);
+    let QueryVerdict::Refuse(after) = admission.offer(now, arrival(now, 21, 1)) else {
+        panic!("a pause of {pause:?} is too long to wait");
+    };
+    assert!(after >= pause, "told {after:?} within a pause of {pause:?}");
+    let late = now + pause - ms(20);
+    assert!(matches!(admission.offer(late, arrival(late, 22, 1)), QueryVerdict::Wait(_)));
+    assert_eq!(admission.start_queued(now + pause), [22]);
+}
+
 /// Guards against slow replicas that look like an overload: fewer queries would not shorten their queues.
 #[test]
 fn long_queues_at_a_third_of_the_targets_are_no_congestion() {
