Check before each part whether the sender of a gather has given up

A host asked another gatherer after 60 ms; the first one had peeked at the connection before, chose the targets of 90 shards for 200 ms and more, and then sent all parts. Nothing between the peek and the parts could see the close.

Ruled out: yields alone: they give the HTTP library a turn, which does not read without an event of the socket.

The first attempts of such a request are sent sixteen a turn, so that what was checked is also written.

--- a/crates/front/src/caller_request.rs
+++ b/crates/front/src/caller_request.rs
@@ -19,6 +19,7 @@
     clock::now,
     core::Core,
     header_names::{HeaderNames, remove_hop_by_hop},
+    sender_watch::SenderWatch,
     sent_to::SentTo,
     timed_io::{ActivityCell, Arrival},
 };
@@ -49,6 +50,8 @@
     pub(crate) sent_to: SentTo,
     /// The regions in which the request must stay.
     pub(crate) homes: Homes,
+    /// The host that sent the request to this one, unless its caller did.
+    pub(crate) sender: Option<SenderWatch>,
 }
 
 /// Why a request could not be read. The names of the variants appear in log details.
@@ -114,6 +117,7 @@
             fingerprint,
             sent_to: SentTo::default(),
             homes: Homes::default(),
+            sender: None,
         })
     }
 
@@ -127,6 +131,11 @@
         self.id.to_str().unwrap_or("(not text)")
     }
 
+    /// Returns whether the host that sent the request to this one has given up and may have sent it elsewhere.
+    pub(crate) fn is_abandoned(&self) -> bool {
+        self.sender.as_ref().is_some_and(SenderWatch::has_given_up)
+    }
+
     /// Returns the path with its query.
     pub(crate) fn path(&self) -> &str {
         self.uri.path_and_query().map_or("/", |path| path.as_str())
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -73,6 +73,7 @@
     let end = match &result {
         // The target was not tried: it takes no requests now.
         ExchangeResult::NotSent if !target.accepts_chosen_requests(now()) => ExchangeEnd::Abandoned,
+        ExchangeResult::Abandoned => ExchangeEnd::Abandoned,
         ExchangeResult::Success(_) => ExchangeEnd::Answered,
         ExchangeResult::Failure(_) | ExchangeResult::Lost(_) => ExchangeEnd::Failed,
         ExchangeResult::NotRun(StatusCode::MISDIRECTED_REQUEST) | ExchangeResult::NotSent => {
@@ -123,7 +124,14 @@
     options: ExchangeOptions,
 ) -> ExchangeResult {
     loop {
+        if req.is_abandoned() {
+            return ExchangeResult::Abandoned;
+        }
         let connection = connect(core, target, options).await;
+        if req.is_abandoned() {
+            connection.into_iter().for_each(|connection| connection.keep(target));
+            return ExchangeResult::Abandoned;
+        }
         let sent_at = now();
         let Some(mut connection) = connection.filter(|_| target.try_send(sent_at)) else {
             return ExchangeResult::NotSent;
--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -30,6 +30,10 @@
 /// How often skipped services are checked for a target that can take the request now.
 const SKIPPED_CHECK_INTERVAL: Duration = Duration::from_millis(15);
 
+/// How many first attempts of a request of another host are sent before the connections that carry them, and the one
+/// that it came on, get a turn. Parts that are all written at the end go out after a sender gave up meanwhile.
+const SENT_PER_TURN: usize = 16;
+
 /// What a fan-out runs next.
 enum Next {
     /// A request to one more target.
@@ -133,7 +137,9 @@
     if fan_out.lacks_targets() {
         return fan_out.refuse(&attempts);
     }
-    running.extend(attempts.into_iter().map(|attempt| fan_out.run_attempt(attempt).boxed()));
+    let per_turn = if req.sender.is_some() { SENT_PER_TURN } else { usize::MAX };
+    let attempts = attempts.into_iter().enumerate();
+    running.extend(attempts.map(|(at, attempt)| fan_out.run_attempt(attempt, at / per_turn).boxed()));
     loop {
         fan_out.send_due_parts();
         if fan_out.has_lost_targets && options.may_retry {
@@ -177,7 +183,7 @@
             }
         };
         running.extend(more.into_iter().map(|next| match next {
-            Next::Attempt(attempt) => fan_out.run_attempt(attempt).boxed(),
+            Next::Attempt(attempt) => fan_out.run_attempt(attempt, 0).boxed(),
             Next::RemoteReply(gatherer) => gatherer.next().boxed(),
         }));
     }
--- a/crates/front/src/gather_server.rs
+++ b/crates/front/src/gather_server.rs
@@ -40,6 +40,7 @@
     gather_frames::{Framed, encode_frame},
     gather_options::GatherOptions,
     memory_account::MemoryUse,
+    sender_watch::SenderWatch,
     sent_to::SentTo,
     shared_stream::SharedStream,
 };
@@ -103,14 +104,15 @@
         return plain_text(StatusCode::SERVICE_UNAVAILABLE, "this host reaches no target\n");
     }
     see_closed_connection().await;
-    if connected.is_closed_by_peer() {
+    let sender = SenderWatch::new(connected.clone());
+    if sender.has_given_up() {
         // Nobody reads the response, and the sender may have sent the request elsewhere.
         return plain_text(StatusCode::REQUEST_TIMEOUT, "the sender has given up\n");
     }
     if is_gather {
-        respond_to_gather(core, arrived_at, body).await
+        respond_to_gather(core, arrived_at, body, sender).await
     } else {
-        respond_to_forward(core, arrived_at, body).await
+        respond_to_forward(core, arrived_at, body, sender).await
     }
 }
 
@@ -141,8 +143,14 @@
     plain_text(StatusCode::SERVICE_UNAVAILABLE, "there is no memory for the message now\n")
 }
 
-async fn respond_to_gather(core: Arc<Core>, arrived_at: Instant, body: Bytes) -> GatherResponse {
+async fn respond_to_gather(
+    core: Arc<Core>,
+    arrived_at: Instant,
+    body: Bytes,
+    sender: SenderWatch,
+) -> GatherResponse {
     let Some((call, mut req)) = decode::<GatherCall>(&core, &body) else { return unreadable() };
+    req.sender = Some(sender);
     set_homes(&core, &call.route, &mut req);
     let is_same = |table: &Arc<RouteTable>| find(table, &call, &req.homes).is_some();
     let Some(table) = core.table.load_full().filter(is_same) else {
@@ -165,8 +173,14 @@
     accepted(shared, rx, task)
 }
 
-async fn respond_to_forward(core: Arc<Core>, arrived_at: Instant, body: Bytes) -> GatherResponse {
+async fn respond_to_forward(
+    core: Arc<Core>,
+    arrived_at: Instant,
+    body: Bytes,
+    sender: SenderWatch,
+) -> GatherResponse {
     let Some((call, mut req)) = decode::<ForwardCall>(&core, &body) else { return unreadable() };
+    req.sender = Some(sender);
     set_homes(&core, &call.route, &mut req);
     let Some(table) = core.table.load_full().filter(|table| find_route(table, &call).is_some()) else {
         return other_configuration();
@@ -309,6 +323,7 @@
             fingerprint: fingerprint_of(&uri, self.body),
             sent_to: SentTo::default(),
             homes: Homes::default(),
+            sender: None,
             uri,
         })
     }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -67,6 +67,7 @@
 mod request_work;
 mod retry_after;
 mod route_latency;
+mod sender_watch;
 mod sent_to;
 mod shared_stream;
 mod store;
--- a/crates/front/src/target_answer.rs
+++ b/crates/front/src/target_answer.rs
@@ -56,6 +56,8 @@
     NotRun(StatusCode),
     /// No byte of the request was sent.
     NotSent,
+    /// No byte of the request was sent, as the host that sent it to this one has given up.
+    Abandoned,
     /// No usable answer; the request may have run.
     Lost(LossCause),
 }
