Spread long gathers over the gatherers of a data centre

A gather over 90 shards takes a host with 0.084 cores some 90 ms of its processor time, which is longer than the objectives of 40 ms; the hosts of its data centre stay idle meanwhile.

policy::gather_spread splits such a gather, and the fan-out asks other gatherers of the own data centre for the shares with the existing call for parts. Shares are in proportion to processor time. The mechanism is gather-spread, the metric egret_gather_shares_total. Each host counts only the parts that it asks targets for itself, so that the number of gatherers does not grow by parts that are handed on.

No measurement of served requests.

--- a/crates/front/src/delegate.rs
+++ b/crates/front/src/delegate.rs
@@ -225,7 +225,7 @@
     counts.into_iter().filter(|(_, count)| *count >= least).map(|(name, _)| name).collect()
 }
 
-/// Asks a gatherer in another data centre for the parts of some shards of a plan.
+/// Asks another gatherer for the parts of some shards of a plan.
 pub(crate) fn call_for_parts(
     core: &Core,
     gatherer: Arc<Target>,
--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -4,6 +4,7 @@
 mod placement;
 mod remote_gatherers;
 mod skipped;
+mod spread;
 
 use std::{
     sync::Arc,
@@ -34,7 +35,7 @@
 enum Next {
     /// A request to one more target.
     Attempt(NextAttempt),
-    /// Reading one more reply of a gatherer in another data centre.
+    /// Reading one more reply of a gatherer that was asked for parts.
     RemoteReply(RemoteGatherer),
 }
 
@@ -114,6 +115,7 @@
         has_lost_targets: false,
     };
     if let Err(retry_after) = fan_out.skip_overloaded() {
+        fan_out.count_parts(services.len());
         fan_out.result.overload_retry_after = Some(retry_after);
         return fan_out.result;
     }
@@ -123,6 +125,11 @@
     for (gatherer, shards) in gatherers {
         running.push(fan_out.call_remote_gatherer(gatherer, shards).boxed());
     }
+    let shares = fan_out.shares();
+    fan_out.count_parts(services.len() - shares.iter().map(|(_, shards)| shards.len()).sum::<usize>());
+    for (gatherer, shards) in shares {
+        running.push(fan_out.call_remote_gatherer(gatherer, shards).boxed());
+    }
     let mut attempts = Vec::new();
     for shard in 0..services.len() {
         if !fan_out.progress.is_abandoned(shard) && !fan_out.progress.has_outstanding_attempt(shard) {
--- a/crates/front/src/fan_out/remote_gatherers.rs
+++ b/crates/front/src/fan_out/remote_gatherers.rs
@@ -1,7 +1,8 @@
-//! Parts that gatherers in other data centres merge for this host, or this host for one of them.
+//! Parts that other gatherers merge for this host, or this host for one of them.
 //!
 //! Shards without a target in the own data centre are requested from a gatherer near their
-//! targets, which merges the parts before they cross between the data centres.
+//! targets, which merges the parts before they cross between the data centres. The shares of a gather that
+//! is spread over the own data centre are requested in the same way.
 
 use std::sync::Arc;
 
@@ -20,7 +21,7 @@
     target_set::PickFilter,
 };
 
-/// A reply of a gatherer in another data centre, and the reader of its next one.
+/// A reply of another gatherer, and the reader of its next one.
 pub(super) struct RemoteReply {
     /// All shards that the gatherer was asked for, in order.
     pub(super) shards: Vec<usize>,
@@ -28,7 +29,7 @@
     pub(super) is_first: bool,
 }
 
-/// A gatherer in another data centre whose last reply has not been read yet.
+/// A gatherer whose last reply has not been read yet.
 pub(super) struct RemoteGatherer {
     pub(super) shards: Vec<usize>,
     pub(super) replies: FrameReader,
@@ -69,7 +70,7 @@
         found
     }
 
-    /// Asks a gatherer in another data centre for the parts of some shards.
+    /// Asks another gatherer for the parts of some shards.
     pub(super) fn call_remote_gatherer(
         &mut self,
         gatherer: Arc<Target>,
@@ -77,7 +78,7 @@
     ) -> impl Future<Output = FanOutEvent> + Send + use<> {
         for &shard in &shards {
             self.progress.record_sent(now(), shard);
-            // The remote gatherer sends hedges itself.
+            // The other gatherer sends hedges itself.
             self.progress.forbid_hedge(shard);
         }
         let options =
@@ -139,7 +140,7 @@
     ) -> Vec<Next> {
         self.req.log(
             Code::GathererFailed,
-            &format!("a gatherer in another data centre that was asked for parts {error}"),
+            &format!("a gatherer that was asked for the parts of some shards {error}"),
         );
         let may_have_run = error.may_have_run() || !is_first;
         self.result.may_have_run |= may_have_run;
--- a/crates/front/src/fan_out_options.rs
+++ b/crates/front/src/fan_out_options.rs
@@ -19,6 +19,6 @@
     /// Whether another host may have sent the request to targets already, so that first attempts
     /// spend retry budget, too.
     pub(crate) is_repeat: bool,
-    /// Whether gatherers in other data centres may be asked for the parts of their targets.
+    /// Whether other gatherers may be asked for parts.
     pub(crate) may_use_remote_gatherers: bool,
 }
--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -2,6 +2,8 @@
 
 mod roles;
 
+pub(crate) use self::roles::GATHER_MILLICORES;
+
 use std::{
     net::SocketAddr,
     sync::Arc,
--- a/crates/front/src/fleet_view/roles.rs
+++ b/crates/front/src/fleet_view/roles.rs
@@ -12,7 +12,7 @@
 
 /// Processor time of one running gather, in thousandths of a core; gives gatherers a slot count, so
 /// that hosts compare them as they compare targets.
-const GATHER_MILLICORES: u32 = 40;
+pub(crate) const GATHER_MILLICORES: u32 = 40;
 
 impl FleetView {
     /// Recomputes which hosts gather and which own replicas that warm up, and installs what changed.
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -143,7 +143,7 @@
     (has_failed && !has_spare_replicas(core, route, plan, &req.homes)).then_some(may_have_run)
 }
 
-/// Gathers the parts of all shards from this host, some of them through remote gatherers.
+/// Gathers the parts of all shards from this host, some of them through other gatherers.
 pub(crate) async fn run_gather(
     core: &Arc<Core>,
     route: &Route,
@@ -158,7 +158,6 @@
             return GatherReply { come_back_ms, ..GatherReply::not_run() };
         }
     };
-    core.count_parts(plan.shards.len());
     let mut fan_options = fan_out_options(core, route, req, plan.least_shards(), options.answer_at);
     fan_options.is_repeat = options.is_repeat;
     fan_options.may_use_remote_gatherers = true;
@@ -188,7 +187,7 @@
     }
 }
 
-/// Gathers the parts of some shards for a gatherer in another data centre.
+/// Gathers the parts of some shards for another gatherer.
 ///
 /// The parts that arrive until shortly before the latency objective are sent in one reply, later ones
 /// one by one; the other gatherer decides when it has enough. The last reply is returned.
@@ -206,7 +205,6 @@
     if services.len() != shards.len() {
         return GatherReply::not_run();
     }
-    core.count_parts(services.len());
     let mut fan_options = fan_out_options(core, route, req, 0, options.answer_at);
     fan_options.is_repeat = options.is_repeat;
     let parts_sender = PartsSender::new(&fan_options.limits, shards, plan.top_k, replies);
--- a/crates/front/src/instruments.rs
+++ b/crates/front/src/instruments.rs
@@ -19,6 +19,7 @@
     exchanges: Counter<u64>,
     connections: Counter<u64>,
     gathers: Counter<u64>,
+    gather_shares: Counter<u64>,
     admissions: Counter<u64>,
     forwards: Counter<u64>,
     placements: Counter<u64>,
@@ -44,6 +45,10 @@
             exchanges: metrics.counter("exchanges", "Exchanges with targets by their end."),
             connections: metrics.counter("connections_opened", "Connections opened to targets."),
             gathers: metrics.counter("gathers", "Gathers by who asked the targets."),
+            gather_shares: metrics.counter(
+                "gather_shares",
+                "Shares of gathers that other hosts of the data centre were asked for.",
+            ),
             admissions: metrics
                 .counter("admissions", "Gathers by whether they started, waited or were refused."),
             forwards: metrics
@@ -92,6 +97,10 @@
         self.gathers.add(1, &[label("by", by)]);
     }
 
+    pub(crate) fn gather_shares(&self, shares: usize) {
+        self.gather_shares.add(shares as u64, &[]);
+    }
+
     pub(crate) fn admission(&self, end: &'static str) {
         self.admissions.add(1, &[label("end", end)]);
     }
--- a/crates/front/src/mechanism.rs
+++ b/crates/front/src/mechanism.rs
@@ -29,6 +29,8 @@
     Gatherers = "gatherers";
     /// Gatherers of other data centres merge the parts of their targets into one reply.
     RemoteMerging = "merging-elsewhere";
+    /// A gatherer with little processor time asks others of its data centre for shares of a gather.
+    GatherSpread = "gather-spread";
     /// A hedge, a second attempt at a slow request, goes to another target.
     Hedging = "second-copies";
     /// Overloaded shards are not asked if enough others remain for the answer.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -38,6 +38,7 @@
 //! - [`Contention`]: services that recently refused work for lack of slots.
 //! - [`RelayHealth`], [`PauseDetector`]: which relays are down, and whether this process paused.
 //! - [`GatherProgress`], [`choose_shards`]: hedges, early answers and skipped shards of a gather.
+//! - [`gather_spread`]: which shares of a gather other hosts of the data centre are asked for.
 //! - [`QueryAdmission`]: start, queue or refuse whole queries while demand exceeds what targets complete in time.
 //! - [`TargetLoad`], [`RetryBudget`]: load estimates and limits on extra attempts at
 //!   targets.
@@ -62,6 +63,7 @@
 mod dispatcher;
 mod drain_signal;
 mod gather_progress;
+mod gather_spread;
 mod gatherers;
 mod latency;
 mod lead_time;
@@ -105,6 +107,7 @@
 pub use dispatcher::{Dispatcher, Limits};
 pub use drain_signal::DrainSignal;
 pub use gather_progress::{GatherLimits, GatherProgress, GatherStep};
+pub use gather_spread::{GatherShare, SpreadCandidate, SpreadGather, gather_spread};
 pub use gatherers::{GathererCandidate, choose_gatherers};
 pub use latency::LatencyWindow;
 pub use lead_time::{AnswerDelivery, LeadTimeEstimator};
