--- a/crates/front/src/fan_out/remote_gatherers.rs
+++ b/crates/front/src/fan_out/remote_gatherers.rs
@@ -23,6 +23,7 @@
 
 /// A reply of another gatherer, and the reader of its next one.
 pub(super) struct RemoteReply {
+    pub(super) gatherer: Arc<str>,
     /// All shards that the gatherer was asked for, in order.
     pub(super) shards: Vec<usize>,
     pub(super) result: Result<(GatherReply, FrameReader), DelegateError>,
@@ -31,15 +32,16 @@
 
 /// A gatherer whose last reply has not been read yet.
 pub(super) struct RemoteGatherer {
+    pub(super) gatherer: Arc<str>,
     pub(super) shards: Vec<usize>,
     pub(super) replies: FrameReader,
 }
 
 impl RemoteGatherer {
-    pub(super) async fn next(mut self) -> FanOutEvent {
-        let result = self.replies.next().await;
-        let result = result.map(|reply| (reply, self.replies));
-        FanOutEvent::RemoteReply(RemoteReply { shards: self.shards, result, is_first: false })
+    pub(super) async fn next(self) -> FanOutEvent {
+        let Self { gatherer, shards, mut replies } = self;
+        let result = replies.next().await.map(|reply| (reply, replies));
+        FanOutEvent::RemoteReply(RemoteReply { gatherer, shards, result, is_first: false })
     }
 }
 
@@ -83,34 +85,40 @@
         }
         let options =
             GatherOptions { is_repeat: self.options.is_repeat, answer_at: self.options.limits.objective_at };
+        let id = Arc::clone(&gatherer.replica.id);
         let call = call_for_parts(self.core, gatherer, self.route, self.req, &shards, options);
         async move {
             let result = async {
                 let mut replies = call.await?;
                 Ok((replies.next().await?, replies))
             };
-            FanOutEvent::RemoteReply(RemoteReply { shards, result: result.await, is_first: true })
+            FanOutEvent::RemoteReply(RemoteReply {
+                gatherer: id,
+                shards,
+                result: result.await,
+                is_first: true,
+            })
         }
     }
 
     /// Merges a reply of a gatherer; returns the reading of its next reply, or the attempts that
     /// replace the parts of a gatherer that failed.
     pub(super) fn on_remote_reply(&mut self, remote: RemoteReply) -> Vec<Next> {
-        match remote.result {
-            Ok((reply, replies)) => {
-                let is_last = reply.is_last;
-                let not_asked = reply.not_asked.clone();
-                if !self.merge_reply(&remote.shards, reply) {
-                    return self.on_gatherer_lost(remote.shards, DelegateError::Broken, false);
-                }
-                if !is_last {
-                    return vec![Next::RemoteReply(RemoteGatherer { shards: remote.shards, replies })];
-                }
-                self.abandon_undelivered(&remote.shards, &not_asked);
-                Vec::new()
-            }
-            Err(error) => self.on_gatherer_lost(remote.shards, error, remote.is_first),
+        let RemoteReply { gatherer, shards, result, is_first } = remote;
+        let (reply, replies) = match result {
+            Ok(replied) => replied,
+            Err(error) => return self.on_gatherer_lost(&gatherer, shards, error, is_first),
+        };
+        let is_last = reply.is_last;
+        let not_asked = reply.not_asked.clone();
+        if !self.merge_reply(&shards, reply) {
+            return self.on_gatherer_lost(&gatherer, shards, DelegateError::Broken, false);
+        }
+        if !is_last {
+            return vec![Next::RemoteReply(RemoteGatherer { gatherer, shards, replies })];
         }
+        self.abandon_undelivered(&shards, &not_asked);
+        Vec::new()
     }
 
     /// Abandons the shards whose parts a gatherer did not deliver. For those in `not_asked` it sent
@@ -134,14 +142,14 @@
     /// shards of a gatherer that was waited for until the fan-out ends.
     pub(super) fn on_gatherer_lost(
         &mut self,
+        gatherer: &str,
         shards: Vec<usize>,
         error: DelegateError,
         is_first: bool,
     ) -> Vec<Next> {
-        self.req.log(
-            Code::GathererFailed,
-            &format!("a gatherer that was asked for the parts of some shards {error}"),
-        );
+        let route = &self.route.name;
+        let detail = format!("route {route}: gatherer {gatherer}, asked for {} parts, {error}", shards.len());
+        self.req.log(Code::GathererFailed, &detail);
         let may_have_run = error.may_have_run() || !is_first;
         self.result.may_have_run |= may_have_run;
         let mut attempts = Vec::new();
--- a/crates/front/src/fan_out/spread.rs
+++ b/crates/front/src/fan_out/spread.rs
@@ -7,9 +7,8 @@
 use super::FanOut;
 use crate::{Mechanism, clock::now, fleet_view::GATHER_MILLICORES, target::Target};
 
-/// Loads are raised at random by up to this share, so that hosts with the same information do not all ask the same
-/// gatherers.
-const LOAD_JITTER: f64 = 0.1;
+/// Loads are raised at random by up to this share, so that gatherers that are about as quick share the work.
+const LOAD_JITTER: f64 = 0.3;
 
 impl FanOut<'_> {
     /// Returns the gatherers that are asked for a share of the gather, each with its shards; none where this host has
@@ -43,9 +42,11 @@
         let gatherers = gatherers.targets_of(&options.data_centre);
         let is_candidate = |target: &&Arc<Target>| target.accepts_requests(now) && !target.is_ejected(now);
         let available: Vec<&Arc<Target>> = gatherers.iter().filter(is_candidate).collect();
+        // One that was not asked yet counts as quick as the quickest, or it would never be asked.
+        let lowest_slowness = available.iter().map(|target| target.slowness(now)).fold(1.0, f64::min);
         let candidate = |target: &&Arc<Target>| SpreadCandidate {
             millicores: target.replica.slots * GATHER_MILLICORES,
-            load: target.cost(now) * (1.0 + LOAD_JITTER * fastrand::f64()),
+            load: target.cost_with_prior(now, lowest_slowness) * (1.0 + LOAD_JITTER * fastrand::f64()),
         };
         let candidates: Vec<SpreadCandidate> = available.iter().map(candidate).collect();
         let shares = gather_spread(gather, &candidates);
