Copy the receipts of a share once

Cause: past the objective, each event of a fan-out that sends its parts to another gatherer copied the receipts of all parts twice, sent ones included.

Change: only receipts that were not sent are copied, and nothing is merged where no part is new.

Measured: no measurement of processor time.

--- a/crates/front/src/fan_out_result.rs
+++ b/crates/front/src/fan_out_result.rs
@@ -12,7 +12,7 @@
 pub(crate) struct FanOutResult {
     /// The answer of each service that this host received from a target.
     pub(crate) parts: Vec<Option<TargetAnswer>>,
-    /// The receipt of each service whose part came from a gatherer in another data centre.
+    /// The receipt of each service whose part came from another gatherer.
     pub(crate) remote_receipts: Vec<Option<Bytes>>,
     /// The top records of each reply of such a gatherer, merged over its parts.
     pub(crate) remote_records: Vec<Bytes>,
@@ -40,7 +40,7 @@
     pub(crate) not_asked: Vec<usize>,
     /// The number of services that were still skipped at the end.
     pub(crate) skipped: usize,
-    /// Sends the parts to a gatherer in another data centre, if one asked for them.
+    /// Sends the parts to another gatherer, if one asked for them.
     pub(crate) parts_sender: Option<PartsSender>,
     /// Hedges that were not sent, as no target was expected to answer in time.
     pub(crate) hedges_without_target: u32,
@@ -60,11 +60,17 @@
 
     /// Returns the receipts of all parts that arrived, each with its service's index.
     pub(crate) fn receipts(&self) -> Vec<(usize, Bytes)> {
+        self.receipts_of(|_| true)
+    }
+
+    /// Returns the receipts of the wanted services whose parts arrived, each with its service's index.
+    pub(crate) fn receipts_of(&self, is_wanted: impl Fn(usize) -> bool) -> Vec<(usize, Bytes)> {
         let own = |part: &Option<TargetAnswer>| {
             let receipt = part.as_ref()?.receipt.as_ref()?;
             Some(Bytes::copy_from_slice(receipt.as_bytes()))
         };
         let both = self.parts.iter().zip(&self.remote_receipts).enumerate();
+        let both = both.filter(|(at, _)| is_wanted(*at));
         both.filter_map(|(at, (part, remote))| Some((at, own(part).or_else(|| remote.clone())?))).collect()
     }
 
--- a/crates/front/src/parts_sender.rs
+++ b/crates/front/src/parts_sender.rs
@@ -1,4 +1,4 @@
-//! Sending parts to the gatherer in another data centre that asked for them.
+//! Sending parts to the other gatherer that asked for them.
 
 use std::time::{Duration, Instant};
 
@@ -57,27 +57,30 @@
             return;
         }
         self.has_sent_first = true;
-        let reply = self.reply(result);
-        if !reply.receipts.is_empty() {
-            for (at, _) in result.receipts() {
-                self.sent[at] = true;
-            }
-            // Sending fails once the other gatherer has closed the connection, which ends this
-            // fan-out, too.
-            let _ = self.replies.send(reply);
+        // Runs with each event past the objective, so nothing is copied where no part is new.
+        let new = result.receipts_of(|at| !self.sent[at]);
+        if new.is_empty() {
+            return;
+        }
+        let arrived: Vec<usize> = new.iter().map(|(at, _)| *at).collect();
+        // Sending fails once the other gatherer has closed the connection, which ends this
+        // fan-out, too.
+        let _ = self.replies.send(self.reply(result, new));
+        for at in arrived {
+            self.sent[at] = true;
         }
     }
 
     /// Returns the last reply, with the parts that were not sent yet.
     pub(crate) fn last_reply(&self, result: &FanOutResult) -> GatherReply {
-        GatherReply { is_last: true, ..self.reply(result) }
+        GatherReply { is_last: true, ..self.reply(result, result.receipts_of(|at| !self.sent[at])) }
     }
 
-    fn reply(&self, result: &FanOutResult) -> GatherReply {
-        let is_new = |at: &usize| !self.sent[*at];
-        let new = result.receipts().into_iter().filter(|(at, _)| is_new(at));
-        let receipts: Vec<(u32, Bytes)> = new.map(|(at, receipt)| (self.shards[at], receipt)).collect();
-        let parts = result.parts.iter().enumerate().filter(|(at, _)| is_new(at));
+    /// Returns a reply with the parts that were not sent yet, whose receipts are `new`.
+    fn reply(&self, result: &FanOutResult, new: Vec<(usize, Bytes)>) -> GatherReply {
+        let receipts: Vec<(u32, Bytes)> =
+            new.into_iter().map(|(at, receipt)| (self.shards[at], receipt)).collect();
+        let parts = result.parts.iter().enumerate().filter(|(at, _)| !self.sent[*at]);
         let bodies: Vec<Bytes> = parts.filter_map(|(_, part)| Some(part.as_ref()?.body.clone())).collect();
         GatherReply {
             is_last: false,
