--- a/crates/front/src/fan_out/remote_gatherers.rs
+++ b/crates/front/src/fan_out/remote_gatherers.rs
@@ -32,14 +32,14 @@
 
 /// A gatherer whose last reply has not been read yet.
 pub(super) struct RemoteGatherer {
-    pub(super) gatherer: Arc<str>,
     pub(super) shards: Vec<usize>,
     pub(super) replies: FrameReader,
 }
 
 impl RemoteGatherer {
     pub(super) async fn next(self) -> FanOutEvent {
-        let Self { gatherer, shards, mut replies } = self;
+        let Self { shards, mut replies } = self;
+        let gatherer = replies.gatherer_id();
         let result = replies.next().await.map(|reply| (reply, replies));
         FanOutEvent::RemoteReply(RemoteReply { gatherer, shards, result, is_first: false })
     }
@@ -115,7 +115,7 @@
             return self.on_gatherer_lost(&gatherer, shards, DelegateError::Broken, false);
         }
         if !is_last {
-            return vec![Next::RemoteReply(RemoteGatherer { gatherer, shards, replies })];
+            return vec![Next::RemoteReply(RemoteGatherer { shards, replies })];
         }
         self.abandon_undelivered(&shards, &not_asked);
         Vec::new()
--- a/crates/front/src/gather_frames.rs
+++ b/crates/front/src/gather_frames.rs
@@ -74,6 +74,10 @@
         Self { gatherer, connection: Some(connection), running, body, buf: BytesMut::new(), end_at }
     }
 
+    pub(crate) fn gatherer_id(&self) -> Arc<str> {
+        Arc::clone(&self.gatherer.replica.id)
+    }
+
     /// Reads the next reply.
     ///
     /// # Errors
