Test that an explanation names what a request meets, and changes nothing

Cause: an explanation that comes from a copy of a decision, or that counts as a request, would mislead or harm.

Errors of /explain are JSON, as the text of another listener was taken for one.

--- a/crates/front/src/explain.rs
+++ b/crates/front/src/explain.rs
@@ -12,6 +12,7 @@
 mod gathers;
 mod question;
 mod question_error;
+mod question_failure;
 mod refusal;
 mod route_kind;
 mod route_view;
@@ -31,9 +32,9 @@
 pub use self::{
     admission_verdict::AdmissionVerdict, admission_view::AdmissionView, cost_view::CostView,
     explanation::Explanation, gather_view::GatherView, gatherer_view::GathererView, question::Question,
-    question_error::QuestionError, refusal::Refusal, route_kind::RouteKind, route_view::RouteView,
-    service_view::ServiceView, shard_view::ShardView, target_condition::TargetCondition,
-    target_view::TargetView,
+    question_error::QuestionError, question_failure::QuestionFailure, refusal::Refusal,
+    route_kind::RouteKind, route_view::RouteView, service_view::ServiceView, shard_view::ShardView,
+    target_condition::TargetCondition, target_view::TargetView,
 };
 use self::{gathers::explain_gather, services::explain_service};
 use crate::{
@@ -46,11 +47,11 @@
 /// The path at which the metrics listener explains requests.
 pub const EXPLAIN_PATH: &str = "/explain";
 
-/// Answers a question with an [`Explanation`] in JSON, or with an error as text.
+/// Answers a question with an [`Explanation`] in JSON, or with a [`QuestionFailure`].
 pub(crate) fn respond(core: &Core, call: &HttpRequest) -> Reply {
     match Question::parse(call).and_then(|question| explain(core, &question)) {
         Ok(explanation) => Reply::json(200, &explanation),
-        Err(error) => Reply::text(error.status(), format!("{error}\n")),
+        Err(error) => Reply::json(error.status(), &QuestionFailure { error: error.to_string() }),
     }
 }
 
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -83,7 +83,8 @@
 pub use deletion_guard::{DELETION_HOLD, DeletionGuard};
 pub use explain::{
     AdmissionVerdict, AdmissionView, CostView, EXPLAIN_PATH, Explanation, GatherView, GathererView, Question,
-    QuestionError, Refusal, RouteKind, RouteView, ServiceView, ShardView, TargetCondition, TargetView,
+    QuestionError, QuestionFailure, Refusal, RouteKind, RouteView, ServiceView, ShardView, TargetCondition,
+    TargetView,
 };
 pub use front::{Front, FrontError};
 pub use header_names::HeaderNames;
--- a/crates/policy/tests/placement/costs.rs
+++ b/crates/policy/tests/placement/costs.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use egret_policy::{
-    LoadReport, PlacementRequest, PlacementTarget, PooledLoad, RequestCosts, RequestShape, ReturnSchedule,
-    TargetBacklog, refusal,
+    CostLevel, LoadReport, PlacementRequest, PlacementTarget, PooledLoad, RequestCosts, RequestShape,
+    ReturnSchedule, TargetBacklog, refusal,
 };
 
 const TYPICAL: Duration = Duration::from_millis(100);
@@ -36,6 +36,22 @@
     assert!(mean > ms(180) && mean < ms(240), "{mean:?}");
 }
 
+/// Guards against a level that is named although the estimate rests on a coarser one.
+#[test]
+fn the_level_is_the_narrowest_with_enough_samples() {
+    let now = Instant::now();
+    let mut costs = RequestCosts::default();
+    assert_eq!(costs.level(now, shape("/export/1")), CostLevel::TypicalLatency);
+    for id in 0..40 {
+        costs.record(now, shape(&format!("/export/{id}")), ms(400), 1.0);
+    }
+    assert_eq!(costs.level(now, shape("/export/x9")), CostLevel::PathShape);
+    assert_eq!(costs.level(now, shape("/view/x9")), CostLevel::BodySize);
+    assert_eq!(costs.level(now, RequestShape { body_bytes: 5000, ..shape("/export/1") }), CostLevel::Route);
+    (0..40).for_each(|_| costs.record(now, shape("/export/1"), ms(400), 1.0));
+    assert_eq!(costs.level(now, shape("/export/1")), CostLevel::Path);
+}
+
 /// Guards against a cost that stays for ever after the requests have changed.
 #[test]
 fn costs_follow_a_change_and_decay_to_the_typical_latency() {
--- a/crates/policy/tests/suspects.rs
+++ b/crates/policy/tests/suspects.rs
@@ -227,3 +227,31 @@
     }
     assert_eq!(probes, 1, "within eight minutes");
 }
+
+/// Guards against an explained verdict that differs from the one served, or that extends the mark or uses up the probe.
+#[test]
+fn asking_for_the_verdict_changes_nothing() {
+    let mut now = Instant::now();
+    let mut rng = fastrand::Rng::with_seed(11);
+    let mut suspects = Suspects::remembering(MARK_MEMORY);
+    // The same events, without the questions.
+    let mut unasked = suspects.clone();
+    let mut seen = Vec::new();
+    for _ in 0..2000 {
+        now += secs(rng.f64() * if rng.u8(..4) == 0 { 120.0 } else { 10.0 });
+        let is_prober = rng.bool();
+        if rng.u8(..8) == 0 {
+            suspects.record_break(now, BAD, true);
+            unasked.record_break(now, BAD, true);
+        }
+        let asked = suspects.verdict(now, BAD, || is_prober);
+        if rng.bool() {
+            assert_eq!(asked, suspects.judge(now, BAD, || is_prober));
+            assert_eq!(asked, unasked.judge(now, BAD, || is_prober));
+        }
+        if !seen.contains(&asked) {
+            seen.push(asked);
+        }
+    }
+    assert_eq!(seen.len(), 3, "{seen:?}");
+}
