--- a/crates/front/src/explain/gathers.rs
+++ b/crates/front/src/explain/gathers.rs
@@ -62,8 +62,10 @@
     };
     let refusal = explain_admission(core, route, plan, req, answer_at, &mut view);
     let shards_refusal = explain_shards(core, plan, req, &options, &mut view);
+    // A gather of one shard fails for lack of a target only after it has started, and is not offered to others.
+    let may_be_offered = refusal.is_some() || plan.shards.len() > 1;
     view.refusal = refusal.or(shards_refusal);
-    if view.refusal.is_some() && core.is_enabled(Mechanism::ForwardBeforeRefusing) {
+    if view.refusal.is_some() && may_be_offered && core.is_enabled(Mechanism::ForwardBeforeRefusing) {
         view.gatherer = gatherer().map(|gatherer| GathererView::new(core, &gatherer));
     }
     view
