Let the admission limit follow the host's own lateness, too

Cause: admission followed only the queues that targets report.

Change: `policy::WakeDelay` measures how late a gather is woken once its parts are sent, `QueryEnd` reports it, and `ConcurrencyLimit` follows the greater of the two delays. Lateness takes the limit to 1 at the lowest, and a gather that runs alone does not lower it. An idle host starts a gather that takes longer than it has left, also of a priority that is held up. Metric `egret_gather_delay_ms`.

--- a/crates/front/src/admission.rs
+++ b/crates/front/src/admission.rs
@@ -123,10 +123,16 @@
 }
 
 impl AdmittedQuery {
-    /// Records what the query says about the load of the targets; it ends when `self` is dropped.
-    pub(crate) fn report(&mut self, queued_per_slot: Option<f64>, service_time: Duration) {
+    /// Records what the query says about the load of the targets and of this host; it ends when `self` is dropped.
+    pub(crate) fn report(
+        &mut self,
+        queued_per_slot: Option<f64>,
+        service_time: Duration,
+        host_delay: Duration,
+    ) {
         let Self { priority, objective, began_at, .. } = *self;
-        self.end = Some(QueryEnd { priority, objective, began_at, queued_per_slot, service_time });
+        self.end =
+            Some(QueryEnd { priority, objective, began_at, queued_per_slot, service_time, host_delay });
     }
 }
 
--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -7,13 +7,14 @@
 
 use std::{
     sync::Arc,
+    task::Poll,
     time::{Duration, Instant},
 };
 
 use arc_swap::Guard;
-use egret_policy::{GatherLimits, GatherProgress, GatherStep};
+use egret_policy::{GatherLimits, GatherProgress, GatherStep, WakeDelay};
 use egret_routes::{Backend, Route};
-use futures_util::{FutureExt, StreamExt, stream::FuturesUnordered};
+use futures_util::{FutureExt, StreamExt, future::BoxFuture, poll, stream::FuturesUnordered};
 use tokio::sync::watch;
 
 use self::{
@@ -70,6 +71,8 @@
     placed_work: Option<RequestWork>,
     /// Whether this host lost all targets since the fan-out began, so that no attempt will be answered.
     has_lost_targets: bool,
+    /// How late this host continues the fan-out of an admitted gather, from when its parts have been sent.
+    wake_delay: Option<WakeDelay>,
 }
 
 /// Sends a request to one replica of each service, and hedges and retries, until enough parts
@@ -112,6 +115,7 @@
         },
         placed_work,
         has_lost_targets: false,
+        wake_delay: None,
     };
     if let Err(retry_after) = fan_out.skip_overloaded() {
         fan_out.result.overload_retry_after = Some(retry_after);
@@ -134,6 +138,12 @@
         return fan_out.refuse(&attempts);
     }
     running.extend(attempts.into_iter().map(|attempt| fan_out.run_attempt(attempt).boxed()));
+    // The first poll sends the parts, which is work of this fan-out and no delay.
+    if let Poll::Ready(Some(event)) = poll!(running.next()) {
+        let more = fan_out.on_event(event);
+        running.extend(more.into_iter().map(|next| fan_out.run(next)));
+    }
+    fan_out.start_wake_delay();
     loop {
         fan_out.send_due_parts();
         if fan_out.has_lost_targets && options.may_retry {
@@ -176,10 +186,7 @@
                 wait(&mut running, &mut fan_out, &mut partition, until).await
             }
         };
-        running.extend(more.into_iter().map(|next| match next {
-            Next::Attempt(attempt) => fan_out.run_attempt(attempt).boxed(),
-            Next::RemoteReply(gatherer) => gatherer.next().boxed(),
-        }));
+        running.extend(more.into_iter().map(|next| fan_out.run(next)));
     }
 }
 
@@ -196,17 +203,22 @@
 {
     let due_at = fan_out.result.parts_sender.as_ref().and_then(PartsSender::due_at);
     let until = due_at.map_or(until, |due_at| due_at.min(until));
+    let wake_at = fan_out.wake_delay.map_or(until, |wake_delay| wake_delay.due_at().min(until));
     tokio::select! {
         biased;
-        Some(event) = running.next() => match event {
-            FanOutEvent::Attempt(attempt) => fan_out.on_attempt_end(attempt).into_iter().map(Next::Attempt).collect(),
-            FanOutEvent::RemoteReply(reply) => fan_out.on_remote_reply(reply),
-        },
+        Some(event) = running.next() => {
+            fan_out.record_wake_up(true);
+            fan_out.on_event(event)
+        }
         Ok(()) = partition.changed() => {
             fan_out.has_lost_targets = fan_out.core.is_cut_off();
             Vec::new()
         }
-        () = tokio::time::sleep_until(until.into()) => {
+        () = tokio::time::sleep_until(wake_at.into()) => {
+            fan_out.record_wake_up(false);
+            if wake_at < until {
+                return Vec::new();
+            }
             fan_out.readmit(ReadmitWhen::LikelyInTime).into_iter().map(Next::Attempt).collect()
         }
     }
@@ -218,10 +230,44 @@
         self.core.targets_within(&self.req.homes)
     }
 
+    /// Returns the future of what the fan-out runs next.
+    fn run(&self, next: Next) -> BoxFuture<'static, FanOutEvent> {
+        match next {
+            Next::Attempt(attempt) => self.run_attempt(attempt).boxed(),
+            Next::RemoteReply(gatherer) => gatherer.next().boxed(),
+        }
+    }
+
+    /// Records the end of an attempt or a reply of a gatherer; returns what to run next.
+    fn on_event(&mut self, event: FanOutEvent) -> Vec<Next> {
+        match event {
+            FanOutEvent::Attempt(attempt) => {
+                self.on_attempt_end(attempt).into_iter().map(Next::Attempt).collect()
+            }
+            FanOutEvent::RemoteReply(reply) => self.on_remote_reply(reply),
+        }
+    }
+
+    /// Starts to measure how late this host continues a gather whose end admission uses.
+    fn start_wake_delay(&mut self) {
+        let is_admitted = self.is_gather && self.result.parts_sender.is_none();
+        if is_admitted && self.core.is_enabled(Mechanism::QueryAdmission) {
+            let objective = Duration::from_millis(self.route.latency_objective_ms);
+            self.wake_delay = Some(WakeDelay::start(now(), objective));
+        }
+    }
+
+    fn record_wake_up(&mut self, has_part: bool) {
+        if let Some(wake_delay) = &mut self.wake_delay {
+            wake_delay.record(now(), has_part);
+        }
+    }
+
     fn finish(mut self, is_running: bool) -> FanOutResult {
         // A target may be running an attempt that has not ended.
         self.result.may_have_run |= is_running;
         self.result.skipped = self.skipped.len();
+        self.result.host_delay = self.wake_delay.map_or(Duration::ZERO, |wake_delay| wake_delay.total());
         self.set_return_time();
         let is_not_asked = |shard: &usize| self.delivered[*shard] == 0;
         self.result.not_asked = (0..self.services.len()).filter(is_not_asked).collect();
--- a/crates/front/src/fan_out_result.rs
+++ b/crates/front/src/fan_out_result.rs
@@ -49,6 +49,8 @@
     /// The requests that waited at each target that answered, as a multiple of its slots. A shed request
     /// says nothing of the queue: some targets shed without one.
     pub(crate) queued_per_slot: Vec<f64>,
+    /// How late this host was to continue the fan-out, if that was measured.
+    pub(crate) host_delay: Duration,
     /// How many times no target could take the first attempt at a service.
     pub(crate) without_target: u32,
 }
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -167,7 +167,9 @@
     if let Some(admitted) = &mut admitted
         && (result.is_enough || !result.queued_per_slot.is_empty())
     {
-        admitted.report(common_queue(&result.queued_per_slot), fan_options.typical_latency);
+        let queue = common_queue(&result.queued_per_slot);
+        core.instruments.host_delay(result.host_delay);
+        admitted.report(queue, fan_options.typical_latency, result.host_delay);
     }
     log_result(req, route, &result);
     let receipts = result.receipts().into_iter().map(|(at, receipt)| (at as u32, receipt)).collect();
--- a/crates/front/src/instruments.rs
+++ b/crates/front/src/instruments.rs
@@ -14,6 +14,7 @@
     latency: Histogram<f64>,
     part_latency: Histogram<f64>,
     answer_delay: Histogram<f64>,
+    host_delay: Histogram<f64>,
     parts_missing: Counter<u64>,
     extra_attempts: Counter<u64>,
     exchanges: Counter<u64>,
@@ -39,6 +40,8 @@
                 "answer_way_ms",
                 "Milliseconds from when a gather's answer was due until it was written.",
             ),
+            host_delay: metrics
+                .latency("gather_delay_ms", "Milliseconds by which this host was late to continue a gather."),
             parts_missing: metrics.counter("parts_missing", "Shards that successful answers lack."),
             extra_attempts: metrics.counter("extra_copies", "Copies beyond the first of each service."),
             exchanges: metrics.counter("exchanges", "Exchanges with targets by their end."),
@@ -75,6 +78,10 @@
         self.answer_delay.record(delay.as_secs_f64() * 1000.0, &[]);
     }
 
+    pub(crate) fn host_delay(&self, delay: Duration) {
+        self.host_delay.record(delay.as_secs_f64() * 1000.0, &[]);
+    }
+
     pub(crate) fn gather_end(&self, missing: usize, extra: u32) {
         self.parts_missing.add(missing as u64, &[]);
         self.extra_attempts.add(u64::from(extra), &[]);
--- a/crates/policy/src/concurrency_limit.rs
+++ b/crates/policy/src/concurrency_limit.rs
@@ -1,4 +1,4 @@
-//! A limit on the queries in flight that adapts to the queueing delay at the targets.
+//! A limit on the queries in flight that adapts to the queueing delay at the targets and to the delay of the host.
 
 use std::time::{Duration, Instant};
 
@@ -13,12 +13,14 @@
 /// Below this share of the allowed delay the targets have room to spare, and each query that ends while the limit binds
 /// raises it by one, so that it doubles within one round trip.
 const SPARE_CONGESTION: f64 = 0.4;
+/// The limit does not fall below this because the host is late: pauses between queries would only leave it idle.
+const HOST_LIMIT_MIN: f64 = 1.0;
 
 /// A limit on the queries in flight: additive increase, multiplicative decrease.
 ///
 /// Many hosts send to the same targets and none of them sees the whole load. Each follows the same signal, the queueing
 /// delay that targets report, so that the sum of their limits stays near what the targets can complete in time,
-/// whatever the number of hosts.
+/// whatever the number of hosts. A host that is late itself runs fewer queries at a time, whatever the targets report.
 #[derive(Clone, Debug)]
 pub struct ConcurrencyLimit {
     limit: f64,
@@ -59,21 +61,33 @@
     /// Records the end of a query that began at `began_at` with `in_flight` queries, itself included.
     ///
     /// `congestion` is the queueing delay that it found, as a multiple of the allowed one; `None` if it met no target
-    /// that reports its queue, which counts as none.
-    pub fn record(&mut self, now: Instant, began_at: Instant, in_flight: usize, congestion: Option<f64>) {
+    /// that reports its queue, which counts as none. `host_congestion` is the delay of this host itself, likewise.
+    pub fn record(
+        &mut self,
+        now: Instant,
+        began_at: Instant,
+        in_flight: usize,
+        congestion: Option<f64>,
+        host_congestion: f64,
+    ) {
         let duration = now.saturating_duration_since(began_at);
         let pause = (1.0 / self.limit - 1.0).max(0.0);
         self.paused_until = (pause > 0.0).then(|| now + duration.mul_f64(pause));
-        let congestion = congestion.unwrap_or(0.0);
+        let target_congestion = congestion.unwrap_or(0.0);
+        // A query that runs alone is late by its own work, which a lower limit does not change.
+        let is_host_late = host_congestion > 1.0 && self.limit >= HOST_LIMIT_MIN;
+        let host_counts = in_flight > 1 && self.limit > HOST_LIMIT_MIN;
+        let congestion = target_congestion.max(if host_counts { host_congestion } else { 0.0 });
+        let limit_min = if congestion > target_congestion { HOST_LIMIT_MIN } else { LIMIT_MIN };
         if congestion > 1.0 {
             if self.decreased_at.is_none_or(|at| began_at >= at) {
                 let decrease = (DECREASE_MAX * (congestion - 1.0)).min(DECREASE_MAX);
                 // Where the limit is far above what is in flight, a decrease starts from there.
                 let from = self.limit.min((in_flight + 1) as f64);
-                self.limit = (from * (1.0 - decrease)).max(LIMIT_MIN);
+                self.limit = (from * (1.0 - decrease)).max(limit_min);
                 self.decreased_at = Some(now);
             }
-        } else if (in_flight + 1) as f64 > self.limit {
+        } else if (in_flight + 1) as f64 > self.limit && !is_host_late {
             let increase = if congestion < SPARE_CONGESTION { 1.0 } else { 1.0 / self.limit.max(1.0) };
             self.limit = (self.limit + increase).min(LIMIT_MAX);
         }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -39,6 +39,7 @@
 //! - [`RelayHealth`], [`PauseDetector`]: which relays are down, and whether this process paused.
 //! - [`GatherProgress`], [`choose_shards`]: hedges, early answers and skipped shards of a gather.
 //! - [`QueryAdmission`]: start, queue or refuse whole queries while demand exceeds what targets complete in time.
+//! - [`WakeDelay`]: how late a host itself runs a gather.
 //! - [`TargetLoad`], [`RetryBudget`]: load estimates and limits on extra attempts at
 //!   targets.
 //! - [`RequestLimit`], [`LimitShare`]: the limit on requests that a target states for all hosts.
@@ -90,6 +91,7 @@
 mod ticket;
 mod ticket_registry;
 mod token_bucket;
+mod wake_delay;
 mod warm_up;
 mod weighted_draw;
 mod work;
@@ -132,6 +134,7 @@
 pub use ticket::{Ticket, TicketError};
 pub use ticket_registry::{Claim, TicketRegistry};
 pub use token_bucket::TokenBucket;
+pub use wake_delay::WakeDelay;
 pub use warm_up::{WarmUpLimits, WarmUpWindow, warm_up_owner};
 pub use weighted_draw::weighted_draw;
 pub use work::{Admission, Completion, Decision, OfferOutcome, Refused, Work, WorkId};
--- a/crates/policy/src/query_admission.rs
+++ b/crates/policy/src/query_admission.rs
@@ -9,8 +9,9 @@
     AdmissionQueue, ConcurrencyLimit, QueryRank, QueuedQuery, ReturnPromises, start_shares::StartShares,
 };
 
-/// The queueing delay at the targets that is allowed, as a share of the tightest latency objective on the index.
-const QUEUEING_DELAY_SHARE: f64 = 0.25;
+/// The queueing delay at the targets, and the delay of this host, that are allowed, as a share of the tightest latency
+/// objective on the index.
+const ALLOWED_DELAY_SHARE: f64 = 0.25;
 /// How long a query may wait before it starts, as a share of its objective: a refusal must come that early to be of use.
 const WAIT_OBJECTIVE_SHARE: f64 = 0.25;
 /// The share of the time that it has left after which a caller that was told to wait returns at the latest.
@@ -56,7 +57,7 @@
     Refuse(Duration),
 }
 
-/// What a query that ended says about the load of the targets.
+/// What a query that ended says about the load of the targets and of this host.
 #[derive(Clone, Copy, Debug)]
 pub struct QueryEnd {
     /// The priority of its route.
@@ -70,6 +71,8 @@
     pub queued_per_slot: Option<f64>,
     /// The typical service time of its parts.
     pub service_time: Duration,
+    /// How late this host ran the query ([`crate::WakeDelay`]).
+    pub host_delay: Duration,
 }
 
 /// The queries of the routes with one priority and objective, which admission does not tell apart.
@@ -108,7 +111,11 @@
         let returning = self.returns.redeem(now, spent, asked_at);
         let rank = QueryRank { priority: query.priority, returning };
         let has_capacity = self.limit.allows(now, self.in_flight);
-        let is_first = has_capacity && self.queue.is_first(now, rank) && self.shares.may_start(now, rank);
+        let duration = Duration::from_secs_f64(kind.duration_s);
+        // A query that takes longer than it has left would be refused rather than wait; an idle host would serve nobody.
+        let is_urgent_on_idle_host = self.in_flight == 0 && now + duration > query.due_at;
+        let may_start = || self.shares.may_start(now, rank) || is_urgent_on_idle_host;
+        let is_first = has_capacity && self.queue.is_first(now, rank) && may_start();
         if query.must_start || is_first {
             self.start(now, rank);
             return QueryVerdict::Start;
@@ -116,7 +123,6 @@
         if !has_capacity {
             self.shares.record_contention(now, rank);
         }
-        let duration = Duration::from_secs_f64(kind.duration_s);
         let promptly = query.arrived_at + query.objective.mul_f64(WAIT_OBJECTIVE_SHARE);
         let in_time = query.due_at.checked_sub(duration).unwrap_or(now);
         let wait_until = promptly.min(in_time);
@@ -187,7 +193,8 @@
         }
         let allowed = self.allowed_delay(now).as_secs_f64();
         let congestion = end.queued_per_slot.map(|queued| queued * self.service_time_s / allowed);
-        self.limit.record(now, end.began_at, in_flight, congestion);
+        let host_congestion = end.host_delay.as_secs_f64() / allowed;
+        self.limit.record(now, end.began_at, in_flight, congestion, host_congestion);
     }
 
     /// Returns the limit, the queries in flight and those in the queue.
@@ -208,12 +215,12 @@
         self.limit.starts_per_s(Duration::from_secs_f64(duration_s))
     }
 
-    /// Returns the queueing delay at the targets at which all kinds of queries can still be in time.
+    /// Returns the queueing delay at the targets, and the delay of this host, at which all kinds of queries can still be in time.
     fn allowed_delay(&self, now: Instant) -> Duration {
         let recent =
             self.kinds.iter().filter(|kind| now.saturating_duration_since(kind.last_arrival) < KIND_TTL);
         let tightest = recent.map(|kind| kind.objective).min().unwrap_or(Duration::from_secs(1));
-        tightest.mul_f64(QUEUEING_DELAY_SHARE)
+        tightest.mul_f64(ALLOWED_DELAY_SHARE)
     }
 
     fn arrive(&mut self, now: Instant, query: &QueryArrival) -> QueryKind {
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -29,7 +29,9 @@
 fn end(admission: &mut QueryAdmission, now: Instant, began_at: Instant, queued_per_slot: f64) {
     let service_time = ms(20);
     let queued_per_slot = Some(queued_per_slot);
-    let end = QueryEnd { priority: 1, objective: OBJECTIVE, began_at, queued_per_slot, service_time };
+    let host_delay = Duration::ZERO;
+    let end =
+        QueryEnd { priority: 1, objective: OBJECTIVE, began_at, queued_per_slot, service_time, host_delay };
     admission.end(now, Some(end));
 }
 
--- a/crates/policy/tests/admission_load/mod.rs
+++ b/crates/policy/tests/admission_load/mod.rs
@@ -217,6 +217,7 @@
             began_at: self.at(query.began_ms),
             queued_per_slot: Some(self.queued.len() as f64 / self.pool.servers as f64),
             service_time: ms(SERVICE_MS),
+            host_delay: Duration::ZERO,
         };
         let now = self.at(now_ms);
         self.hosts[query.host].end(now, Some(end));
