Ask one other gatherer after a refusal

Cause: a gather that its gatherer refused was refused to the caller at once, although another gatherer may have had capacity.

Change: `policy::RefusalRetry` decides whether one other gatherer is asked, and `policy::RefusalMemory` remembers for 100 ms who refused which priority and objective. A second refusal is passed on with the smaller `Retry-After`. No gatherer is asked, and no connection waited for, after a quarter of the objective. The refusal of this host itself counts as the first one. Switched off with `--without query-admission`. `egret_admissions_total` counts `retried`.

--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -5,6 +5,7 @@
 mod extra_attempts;
 mod homes;
 mod reach;
+mod refusals;
 mod request_cost;
 
 use std::{
@@ -18,8 +19,8 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use egret_policy::{
-    CallerBudgets, LeadTimeEstimator, LimitShare, MARK_MEMORY, RequestCosts, RetryBudget, ReturnSchedule,
-    Suspects, TargetReach,
+    CallerBudgets, LeadTimeEstimator, LimitShare, MARK_MEMORY, RefusalMemory, RequestCosts, RetryBudget,
+    ReturnSchedule, Suspects, TargetReach,
 };
 use egret_routes::{Evacuations, Registry, Replica, ReplicaRun, Route, RouteTable};
 use tokio::sync::{Notify, watch};
@@ -106,6 +107,8 @@
     pub(crate) callers: CallerConnections,
     /// The gathers that run or wait on this host.
     pub(crate) admission: Mutex<Admission>,
+    /// The gatherers that refused a gather of this host a moment ago.
+    refusals: Mutex<RefusalMemory>,
     /// Runs of targets that announced that they shut down, until the control thread takes them.
     leaving: Mutex<Vec<ReplicaRun>>,
     has_leaving: Notify,
@@ -127,6 +130,7 @@
             targets: ArcSwap::default(),
             suspects: Mutex::new(Suspects::remembering(MARK_MEMORY)),
             admission: Mutex::default(),
+            refusals: Mutex::default(),
             instruments: Instruments::open(),
             gatherers: ArcSwap::default(),
             home_views: Mutex::default(),
--- a/crates/front/src/delegate.rs
+++ b/crates/front/src/delegate.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use derive_more::Display;
 use egret_events::Code;
-use egret_policy::ExchangeEnd;
+use egret_policy::{ExchangeEnd, RefusalRetry};
 use egret_routes::{Backend, GatherPlan, Homes, Route};
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode, body::Incoming};
@@ -111,23 +111,27 @@
         return Delegation::Local { is_repeat: false };
     }
     let options = GatherOptions { is_repeat: false, answer_at };
-    delegate_to(core, route, plan, req, options, &near).await
+    delegate_to(core, route, plan, req, options, &near, None).await
 }
 
-/// Delegates a gather to another host, even if this host is a gatherer near the targets; the answer
-/// must be here at the time that the options state.
+/// Delegates a gather to another host, even if this host is a gatherer near the targets; the answer must be here at the
+/// time that the options state. If this host refused it, `refused_after` is after what time its caller may retry.
 pub(crate) async fn delegate_elsewhere(
     core: &Arc<Core>,
     route: &Route,
     plan: &GatherPlan,
     req: &Arc<CallerRequest>,
     options: GatherOptions,
+    refused_after: Option<Duration>,
 ) -> Delegation {
     let near = data_centres(core, plan, &req.homes);
-    delegate_to(core, route, plan, req, options, &near).await
+    delegate_to(core, route, plan, req, options, &near, refused_after).await
 }
 
 /// Tries gatherers in the data centres `near` the targets, those of the own data centre first.
+///
+/// A gather that one host refused, which may be this one, is sent to one gatherer that did not refuse such a gather a
+/// moment ago.
 async fn delegate_to(
     core: &Arc<Core>,
     route: &Route,
@@ -135,30 +139,42 @@
     req: &Arc<CallerRequest>,
     options: GatherOptions,
     near: &[Arc<str>],
+    refused_here: Option<Duration>,
 ) -> Delegation {
     let GatherOptions { mut is_repeat, answer_at } = options;
+    let end_at = end_at(route, req);
+    let objective = Duration::from_millis(route.latency_objective_ms);
+    let is_enabled = core.is_enabled(Mechanism::QueryAdmission) && !is_repeat;
+    let mut retry = RefusalRetry::new(is_enabled, req.arrived_at, objective, refused_here);
     let mut tried = Vec::new();
     let mut failures = 0;
-    while failures < GATHERERS_MAX && tried.len() < GATHERERS_ASKED_MAX {
-        let Some(gatherer) = pick_gatherer(core, near, &tried, &req.homes) else { break };
+    while failures < GATHERERS_MAX && tried.len() < GATHERERS_ASKED_MAX && retry.may_ask(now()) {
+        let mut passed_over = tried.clone();
+        if retry.refused_after().is_some() {
+            passed_over.extend(core.refusers(route));
+        }
+        let Some(gatherer) = pick_gatherer(core, near, &passed_over, &req.homes) else { break };
+        if retry.refused_after().is_some() {
+            core.instruments.admission("retried");
+        }
         tried.push(Arc::clone(&gatherer.replica.id));
         let sent_at = now();
         let message = message(route, plan, req, None, GatherOptions { is_repeat, answer_at });
-        let called = call(Arc::clone(&gatherer), GATHER_PATH, route, message, end_at(route, req)).await;
+        let connect_by = retry.connect_by(end_at);
+        let called =
+            call_connected_by(Arc::clone(&gatherer), GATHER_PATH, route, message, end_at, connect_by).await;
         let reply = match called {
             Ok(mut replies) => replies.next::<GatherReply>().await,
             Err(error) => Err(error),
         };
         match reply {
-            Ok(reply) => {
+            Ok(mut reply) => {
                 let held = Duration::from_micros(reply.held_us);
-                if let Some(after_ms) = reply.come_back_ms {
-                    let detail = format!(
-                        "route {}: gatherer {} reports that too many shards are overloaded; the caller may \
-                         retry after {after_ms} ms",
-                        route.name, gatherer.replica.id
-                    );
-                    req.log(Code::RequestRefused, &detail);
+                if let Some(after_ms) = reply.come_back_ms.filter(|_| !reply.may_have_run) {
+                    core.record_refusal(route, &gatherer.replica.id);
+                    let Some(after) = retry.refuse(Duration::from_millis(after_ms)) else { continue };
+                    reply.come_back_ms = Some(after.as_millis() as u64);
+                    log_refusal(req, route, &gatherer.replica.id, after);
                 }
                 let is_in_time = sent_at + held < answer_at + HOST_LATENESS_MAX;
                 return Delegation::Done { reply, ready_at: is_in_time.then_some(sent_at + held) };
@@ -174,10 +190,28 @@
                     let reply = GatherReply { may_have_run: true, ..GatherReply::not_run() };
                     return Delegation::Done { reply, ready_at: None };
                 }
+                if retry.fail(is_repeat) {
+                    break;
+                }
             }
         }
     }
-    Delegation::Local { is_repeat }
+    match (retry.refused_after(), tried.first()) {
+        (Some(after), Some(gatherer)) if refused_here.is_none() => {
+            log_refusal(req, route, gatherer, after);
+            let come_back_ms = Some(after.as_millis() as u64);
+            Delegation::Done { reply: GatherReply { come_back_ms, ..GatherReply::not_run() }, ready_at: None }
+        }
+        _ => Delegation::Local { is_repeat },
+    }
+}
+
+fn log_refusal(req: &CallerRequest, route: &Route, gatherer: &str, after: Duration) {
+    let detail = format!(
+        "route {}: gatherer {gatherer} reports that too many shards are overloaded; the caller may retry after {after:?}",
+        route.name
+    );
+    req.log(Code::RequestRefused, &detail);
 }
 
 /// Picks a gatherer that was not tried: of the own data centre if that is `near` the targets, of
@@ -259,12 +293,24 @@
     route: &Route,
     message: Bytes,
     end_at: Instant,
+) -> impl Future<Output = Result<FrameReader, DelegateError>> + Send + use<> {
+    call_connected_by(gatherer, path, route, message, end_at, end_at)
+}
+
+/// Like [`call`], but the call is not sent if there is no connection at `connect_by`.
+fn call_connected_by(
+    gatherer: Arc<Target>,
+    path: &'static str,
+    route: &Route,
+    message: Bytes,
+    end_at: Instant,
+    connect_by: Instant,
 ) -> impl Future<Output = Result<FrameReader, DelegateError>> + Send + use<> {
     let typical_latency =
         Duration::from_millis(route.latency_objective_ms).mul_f64(TYPICAL_GATHER_OBJECTIVE_SHARE);
     async move {
         let mut running = InFlightGuard::begin(Arc::clone(&gatherer), now(), typical_latency);
-        let accepted = send_until_accepted(&gatherer, path, message, end_at).await;
+        let accepted = send_until_accepted(&gatherer, path, message, end_at, connect_by).await;
         match accepted {
             Ok((connection, body)) => Ok(FrameReader::new(connection, running, body, end_at)),
             Err(error) => {
@@ -285,8 +331,10 @@
     path: &'static str,
     body: Bytes,
     end_at: Instant,
+    connect_by: Instant,
 ) -> Result<(Connection, Incoming), DelegateError> {
     let accept_by = tokio::time::Instant::from_std(end_at.min(now() + ACCEPT_TIMEOUT));
+    let connect_by = accept_by.min(connect_by.into());
     loop {
         let connecting = async {
             match Connection::reuse(gatherer).await {
@@ -294,7 +342,7 @@
                 None => Connection::open(gatherer).await,
             }
         };
-        let connection = tokio::time::timeout_at(accept_by, connecting).await;
+        let connection = tokio::time::timeout_at(connect_by, connecting).await;
         let mut connection = connection.ok().flatten().ok_or(DelegateError::NotSent)?;
         let mut message = Request::new(Full::new(body.clone()));
         *message.method_mut() = Method::POST;
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -108,7 +108,9 @@
     }
     let reply = run_gather(core, route, plan, req, options).await;
     if let Some(is_repeat) = should_gather_elsewhere(core, route, plan, req, options, &reply) {
-        match delegate_elsewhere(core, route, plan, req, GatherOptions { is_repeat, answer_at }).await {
+        let options = GatherOptions { is_repeat, answer_at };
+        let refused_after = reply.come_back_ms.filter(|_| !is_repeat).map(Duration::from_millis);
+        match delegate_elsewhere(core, route, plan, req, options, refused_after).await {
             Delegation::Done { reply, ready_at } => {
                 core.instruments.gather("other");
                 return (reply, ready_at.map(|ready_at| ready_at.min(answer_at)));
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -39,6 +39,7 @@
 //! - [`RelayHealth`], [`PauseDetector`]: which relays are down, and whether this process paused.
 //! - [`GatherProgress`], [`choose_shards`]: hedges, early answers and skipped shards of a gather.
 //! - [`QueryAdmission`]: start, queue or refuse whole queries while demand exceeds what targets complete in time.
+//! - [`RefusalRetry`], [`RefusalMemory`]: the other gatherer that is asked after a refusal.
 //! - [`WakeDelay`]: how late a host itself runs a gather.
 //! - [`TargetLoad`], [`RetryBudget`]: load estimates and limits on extra attempts at
 //!   targets.
@@ -71,6 +72,8 @@
 mod query_admission;
 mod query_rank;
 mod queue;
+mod refusal_memory;
+mod refusal_retry;
 mod relay_health;
 mod remote_shard_groups;
 mod replica;
@@ -114,6 +117,8 @@
 pub use placement::{PlacementRequest, PlacementTarget, refusal};
 pub use query_admission::{QueryAdmission, QueryArrival, QueryEnd, QueryVerdict, common_queue};
 pub use query_rank::{QueryRank, ReturnState};
+pub use refusal_memory::RefusalMemory;
+pub use refusal_retry::RefusalRetry;
 pub use relay_health::RelayHealth;
 pub use remote_shard_groups::{RemoteShardGroup, group_remote_shards};
 pub use replica::{HealthReport, LIVENESS_TTL, ReplicaPhase, SnapshotPlacement};
