Let the senders of queued gathers take turns

Cause: queued gathers of one rank started in the order of their arrival, so that a host that sends more took the starts of the others.

Change: `QueuedQuery` names its sender, the host that the caller is connected to, known by the address of its connection.

--- a/crates/front/src/admission.rs
+++ b/crates/front/src/admission.rs
@@ -197,6 +197,7 @@
             id,
             priority: route.priority,
             objective,
+            sender: req.sent_on_by.unwrap_or(core.options.gathers.ip()),
             arrived_at: req.arrived_at,
             due_at: options.answer_at,
             // A deadline beyond the route's timeout is not what its callers usually state.
--- a/crates/front/src/caller_request.rs
+++ b/crates/front/src/caller_request.rs
@@ -1,6 +1,9 @@
 //! A caller's request: read completely and checked.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::IpAddr,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use egret_events::{Code, log_request_event};
@@ -49,6 +52,8 @@
     pub(crate) sent_to: SentTo,
     /// The regions in which the request must stay.
     pub(crate) homes: Homes,
+    /// The address of the host that sent the request on; `None` if its caller is connected to this host.
+    pub(crate) sent_on_by: Option<IpAddr>,
 }
 
 /// Why a request could not be read. The names of the variants appear in log details.
@@ -114,6 +119,7 @@
             fingerprint,
             sent_to: SentTo::default(),
             homes: Homes::default(),
+            sent_on_by: None,
         })
     }
 
--- a/crates/front/src/gather_server.rs
+++ b/crates/front/src/gather_server.rs
@@ -2,6 +2,7 @@
 
 use std::{
     convert::Infallible,
+    net::IpAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -108,7 +109,7 @@
         return plain_text(StatusCode::REQUEST_TIMEOUT, "the sender has given up\n");
     }
     if is_gather {
-        respond_to_gather(core, arrived_at, body).await
+        respond_to_gather(core, arrived_at, body, connected.peer()).await
     } else {
         respond_to_forward(core, arrived_at, body).await
     }
@@ -141,9 +142,15 @@
     plain_text(StatusCode::SERVICE_UNAVAILABLE, "there is no memory for the message now\n")
 }
 
-async fn respond_to_gather(core: Arc<Core>, arrived_at: Instant, body: Bytes) -> GatherResponse {
+async fn respond_to_gather(
+    core: Arc<Core>,
+    arrived_at: Instant,
+    body: Bytes,
+    sender: Option<IpAddr>,
+) -> GatherResponse {
     let Some((call, mut req)) = decode::<GatherCall>(&core, &body) else { return unreadable() };
     set_homes(&core, &call.route, &mut req);
+    req.sent_on_by = sender;
     let is_same = |table: &Arc<RouteTable>| find(table, &call, &req.homes).is_some();
     let Some(table) = core.table.load_full().filter(is_same) else {
         return other_configuration();
@@ -309,6 +316,7 @@
             fingerprint: fingerprint_of(&uri, self.body),
             sent_to: SentTo::default(),
             homes: Homes::default(),
+            sent_on_by: None,
             uri,
         })
     }
--- a/crates/front/src/shared_stream.rs
+++ b/crates/front/src/shared_stream.rs
@@ -3,7 +3,7 @@
 use std::{
     io,
     mem::MaybeUninit,
-    net::Shutdown,
+    net::{IpAddr, Shutdown},
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
@@ -36,6 +36,11 @@
         }
     }
 
+    /// Returns the address of the peer; `None` if the connection has ended.
+    pub(crate) fn peer(&self) -> Option<IpAddr> {
+        self.0.peer_addr().ok().map(|peer| peer.ip())
+    }
+
     fn poll_write_with(
         &self,
         cx: &mut Context<'_>,
--- a/crates/policy/src/admission_queue.rs
+++ b/crates/policy/src/admission_queue.rs
@@ -1,8 +1,11 @@
 //! The queue of queries that wait until the concurrency limit lets them start.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::IpAddr,
+    time::{Duration, Instant},
+};
 
-use crate::QueryRank;
+use crate::{QueryRank, SenderTurns};
 
 /// A query that waits for its start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -11,6 +14,8 @@
     pub id: u64,
     /// Its place among queries that compete for a start.
     pub rank: QueryRank,
+    /// The host at which its caller is connected.
+    pub sender: IpAddr,
     /// When it was queued.
     pub queued_at: Instant,
     /// When it can no longer be answered in time, or promptly refused.
@@ -27,11 +32,13 @@
     }
 }
 
-/// The queue, in the order in which its queries start.
+/// The queue: higher ranks first; within a rank, senders take turns, so that one that sends more does not take the starts
+/// of the others; then the longest wait.
 #[derive(Clone, Debug, Default)]
 pub struct AdmissionQueue {
     /// Sorted by [`QueuedQuery::order`].
     queries: Vec<QueuedQuery>,
+    turns: SenderTurns,
 }
 
 impl AdmissionQueue {
@@ -65,16 +72,45 @@
         !self.queries.iter().any(|query| query.rank <= rank && now <= query.wait_until)
     }
 
-    /// Returns how many queries in the queue would start before this one.
+    /// Returns how many queries in the queue would start before one that is added.
     #[must_use]
     pub fn ahead_of(&self, query: &QueuedQuery) -> usize {
-        self.queries.partition_point(|other| other.order() < query.order())
+        let higher = self.queries.partition_point(|other| other.rank < query.rank);
+        let same_rank = self.queries[higher..].iter().take_while(|other| other.rank == query.rank);
+        // The queries of each sender, and where its first one is.
+        let mut senders: Vec<(IpAddr, usize, usize)> = Vec::new();
+        for (at, other) in same_rank.enumerate() {
+            match senders.binary_search_by_key(&other.sender, |(sender, ..)| *sender) {
+                Ok(found) => senders[found].1 += 1,
+                Err(found) => senders.insert(found, (other.sender, 1, at)),
+            }
+        }
+        let found = senders.binary_search_by_key(&query.sender, |(sender, ..)| *sender);
+        let (_, own, own_first) = found.map_or((query.sender, 0, usize::MAX), |found| senders.remove(found));
+        let own_turn = (self.turns.turn(query.sender), own_first);
+        // Each other sender starts one query before each of this one, and one more if its turn is earlier.
+        let of_others = senders.iter().map(|(sender, queued, first)| {
+            let is_earlier = (self.turns.turn(*sender), *first) < own_turn;
+            (own + usize::from(is_earlier)).min(*queued)
+        });
+        higher + own + of_others.sum::<usize>()
     }
 
-    /// Takes the query that starts next: the highest rank that `may_start`, then the longest wait. Queries that have
-    /// waited too long are passed over.
+    /// Records the start of a sender's query, in the queue or not.
+    pub fn record_start(&mut self, sender: IpAddr) {
+        self.turns.record_start(sender);
+    }
+
+    /// Takes the query that starts next: the highest rank that `may_start`, then the sender that was started least
+    /// recently, then the longest wait. Queries that have waited too long are passed over.
     pub fn pop(&mut self, now: Instant, may_start: impl Fn(QueryRank) -> bool) -> Option<QueuedQuery> {
-        let at = self.queries.iter().position(|query| now <= query.wait_until && may_start(query.rank))?;
-        Some(self.queries.remove(at))
+        let is_waiting = |query: &QueuedQuery| now <= query.wait_until;
+        let first = self.queries.iter().position(|query| is_waiting(query) && may_start(query.rank))?;
+        let rank = self.queries[first].rank;
+        let same_rank = self.queries[first..].iter().take_while(|query| query.rank == rank).enumerate();
+        let next = same_rank
+            .filter(|(_, query)| is_waiting(query))
+            .min_by_key(|(at, query)| (self.turns.turn(query.sender), *at));
+        next.map(|(at, _)| first + at).map(|at| self.queries.remove(at))
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -39,6 +39,7 @@
 //! - [`RelayHealth`], [`PauseDetector`]: which relays are down, and whether this process paused.
 //! - [`GatherProgress`], [`choose_shards`]: hedges, early answers and skipped shards of a gather.
 //! - [`QueryAdmission`]: start, queue or refuse whole queries while demand exceeds what targets complete in time.
+//! - [`SenderTurns`]: the order among hosts whose queries wait for a start.
 //! - [`RefusalRetry`], [`RefusalMemory`]: the other gatherer that is asked after a refusal.
 //! - [`WakeDelay`]: how late a host itself runs a gather.
 //! - [`TargetLoad`], [`RetryBudget`]: load estimates and limits on extra attempts at
@@ -83,6 +84,7 @@
 mod retry_budget;
 mod return_promises;
 mod return_schedule;
+mod sender_turns;
 mod shard_choice;
 mod snapshot;
 mod start_shares;
@@ -127,6 +129,7 @@
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use return_promises::ReturnPromises;
 pub use return_schedule::ReturnSchedule;
+pub use sender_turns::SenderTurns;
 pub use shard_choice::{ShardChoice, ShardEstimate, choose_shards, max_expected_latency};
 pub use snapshot::{ServiceSnapshots, choose_snapshot};
 pub use store_readers::{store_reader_count, store_readers, store_retry_backoff};
--- a/crates/policy/src/query_admission.rs
+++ b/crates/policy/src/query_admission.rs
@@ -3,7 +3,10 @@
 //! It answers a demand above what the targets can complete in time. A query that starts then makes all others late, and
 //! its own parts may run in vain. See docs/design/query-admission.md.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::IpAddr,
+    time::{Duration, Instant},
+};
 
 use crate::{
     AdmissionQueue, ConcurrencyLimit, QueryRank, QueuedQuery, ReturnPromises, start_shares::StartShares,
@@ -36,6 +39,8 @@
     pub priority: u32,
     /// The latency objective of its route.
     pub objective: Duration,
+    /// The host at which its caller is connected.
+    pub sender: IpAddr,
     /// When its caller's request arrived at the system.
     pub arrived_at: Instant,
     /// When its answer is due, to reach the caller within the objective.
@@ -117,7 +122,7 @@
         let may_start = || self.shares.may_start(now, rank) || is_urgent_on_idle_host;
         let is_first = has_capacity && self.queue.is_first(now, rank) && may_start();
         if query.must_start || is_first {
-            self.start(now, rank);
+            self.start(now, rank, query.sender);
             return QueryVerdict::Start;
         }
         if !has_capacity {
@@ -130,6 +135,7 @@
         let queued = QueuedQuery {
             id: query.id,
             rank,
+            sender: query.sender,
             queued_at: now,
             wait_until,
             asked_at,
@@ -143,8 +149,9 @@
         QueryVerdict::Wait(wait_until)
     }
 
-    fn start(&mut self, now: Instant, rank: QueryRank) {
+    fn start(&mut self, now: Instant, rank: QueryRank, sender: IpAddr) {
         self.in_flight += 1;
+        self.queue.record_start(sender);
         self.shares.record_start(now, rank);
     }
 
@@ -157,7 +164,7 @@
             let Some(query) = owed.or_else(|| self.queue.pop(now, |rank| shares.may_start(now, rank))) else {
                 break;
             };
-            self.start(now, query.rank);
+            self.start(now, query.rank, query.sender);
             started.push(query.id);
         }
         started
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -3,7 +3,10 @@
 
 mod admission_load;
 
-use std::time::{Duration, Instant};
+use std::{
+    net::{IpAddr, Ipv4Addr},
+    time::{Duration, Instant},
+};
 
 use admission_load::{Demand, Load, Pool, ms};
 use egret_policy::{
@@ -18,6 +21,7 @@
         id,
         priority,
         objective: OBJECTIVE,
+        sender: IpAddr::V4(Ipv4Addr::LOCALHOST),
         arrived_at: now,
         due_at: now + OBJECTIVE,
         budget: ms(2500),
@@ -147,6 +151,18 @@
     }
 }
 
+/// Guards against a host that gets the starts of the others because it sends more.
+#[test]
+fn a_sender_with_ten_times_the_demand_leaves_the_others_their_share() {
+    for (times, hosts) in [(8.0, 1), (8.0, 2), (20.0, 1), (20.0, 2)] {
+        let load = Load::new(Pool::default(), hosts).with_senders(&[10.0, 1.0, 1.0, 1.0, 1.0]);
+        let in_time = load.play(&[Demand { times, for_s: 20 }]).in_time_by_sender;
+        let equal = in_time.iter().sum::<u64>() as f64 / in_time.len() as f64;
+        let least = *in_time.iter().min().unwrap() as f64;
+        assert!(least > 0.8 * equal, "{times} times, {hosts} hosts: {in_time:?}");
+    }
+}
+
 /// Guards against an overload that keeps itself up: refused callers that return, limits that stay low.
 #[test]
 fn all_are_served_soon_after_the_load_drops() {
--- a/crates/policy/tests/admission_load/mod.rs
+++ b/crates/policy/tests/admission_load/mod.rs
@@ -3,6 +3,7 @@
 use std::{
     cmp::Reverse,
     collections::{BinaryHeap, VecDeque},
+    net::{IpAddr, Ipv4Addr},
     time::{Duration, Instant},
 };
 
@@ -47,6 +48,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Query {
     host: usize,
+    /// The index of its sender in the demand shares.
+    sender: usize,
     id: u64,
     asked_ms: u64,
     arrived_ms: u64,
@@ -59,6 +62,8 @@
 pub struct Played {
     asked: Vec<u64>,
     in_time: Vec<u64>,
+    /// The queries answered in time, by sender.
+    pub in_time_by_sender: Vec<u64>,
 }
 
 impl Played {
@@ -78,6 +83,8 @@
     start: Instant,
     pool: Pool,
     hosts: Vec<QueryAdmission>,
+    /// The share of the demand of each sender.
+    senders: Vec<f64>,
     rng: fastrand::Rng,
     queries: Vec<Query>,
     /// Queries that wait for a slot of the pool.
@@ -98,6 +105,7 @@
             start: Instant::now(),
             pool,
             hosts: vec![QueryAdmission::default(); hosts],
+            senders: vec![1.0],
             rng: fastrand::Rng::with_seed(7),
             queries: Vec::new(),
             queued: VecDeque::new(),
@@ -109,6 +117,14 @@
         }
     }
 
+    /// Divides the demand among senders, by weights.
+    pub fn with_senders(mut self, weights: &[f64]) -> Self {
+        let sum: f64 = weights.iter().sum();
+        self.senders = weights.iter().map(|weight| weight / sum).collect();
+        self.played.in_time_by_sender = vec![0; weights.len()];
+        self
+    }
+
     /// Plays the demands one after the other.
     pub fn play(mut self, demands: &[Demand]) -> Played {
         let capacity_per_ms = self.pool.servers as f64 / SERVICE_MS as f64;
@@ -134,19 +150,34 @@
         self.played.asked.resize(second + 1, 0);
         self.played.in_time.resize(second + 1, 0);
         self.played.asked[second] += 1;
-        self.offer(now_ms, now_ms, BUDGET_MS);
+        let sender = self.draw_sender();
+        self.offer(now_ms, now_ms, BUDGET_MS, sender);
     }
 
-    fn offer(&mut self, now_ms: u64, asked_ms: u64, budget_ms: u64) {
+    fn draw_sender(&mut self) -> usize {
+        let last = self.senders.len() - 1;
+        let mut drawn = if last == 0 { 0.0 } else { self.rng.f64() };
+        self.senders[..last]
+            .iter()
+            .take_while(|share| {
+                drawn -= **share;
+                drawn >= 0.0
+            })
+            .count()
+    }
+
+    fn offer(&mut self, now_ms: u64, asked_ms: u64, budget_ms: u64, sender: usize) {
         let at = self.queries.len();
         let host = self.rng.usize(..self.hosts.len());
-        let query = Query { host, id: at as u64, asked_ms, arrived_ms: now_ms, budget_ms, began_ms: 0 };
+        let query =
+            Query { host, sender, id: at as u64, asked_ms, arrived_ms: now_ms, budget_ms, began_ms: 0 };
         self.queries.push(query);
         let now = self.at(now_ms);
         let arrival = QueryArrival {
             id: query.id,
             priority: 1,
             objective: ms(OBJECTIVE_MS),
+            sender: IpAddr::V4(Ipv4Addr::from(sender as u32)),
             arrived_at: now,
             due_at: now + ms(OBJECTIVE_MS),
             budget: ms(budget_ms),
@@ -176,8 +207,8 @@
         let now = self.at(now_ms);
         while self.returning.peek().is_some_and(|Reverse((at_ms, _))| *at_ms <= now_ms) {
             let Reverse((_, at)) = self.returning.pop().unwrap();
-            let asked_ms = self.queries[at].asked_ms;
-            self.offer(now_ms, asked_ms, BUDGET_MS - (now_ms - asked_ms));
+            let Query { asked_ms, sender, .. } = self.queries[at];
+            self.offer(now_ms, asked_ms, BUDGET_MS - (now_ms - asked_ms), sender);
         }
         while self.running.peek().is_some_and(|Reverse((at_ms, ..))| *at_ms <= now_ms) {
             let Reverse((_, slot, at)) = self.running.pop().unwrap();
@@ -210,6 +241,9 @@
         let done_ms = now_ms + OVERHEAD_MS;
         if query.budget_ms == BUDGET_MS && done_ms <= query.arrived_ms + OBJECTIVE_MS {
             self.played.in_time[(query.asked_ms / 1000) as usize] += 1;
+            if let Some(in_time) = self.played.in_time_by_sender.get_mut(query.sender) {
+                *in_time += 1;
+            }
         }
         let end = QueryEnd {
             priority: 1,
--- a/crates/policy/tests/host_delay.rs
+++ b/crates/policy/tests/host_delay.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::VecDeque,
+    net::{IpAddr, Ipv4Addr},
     time::{Duration, Instant},
 };
 
@@ -19,6 +20,7 @@
         id,
         priority: 0,
         objective: OBJECTIVE,
+        sender: IpAddr::V4(Ipv4Addr::LOCALHOST),
         arrived_at: now,
         due_at: now + OBJECTIVE,
         budget: ms(250),
