--- a/crates/front/src/admission.rs
+++ b/crates/front/src/admission.rs
@@ -132,10 +132,16 @@
 }
 
 impl AdmittedQuery {
-    /// Records what the query says about the load of the targets; it ends when `self` is dropped.
-    pub(crate) fn report(&mut self, queued_per_slot: Option<f64>, service_time: Duration) {
+    /// Records what the query says about the load of the targets and of this host; it ends when `self` is dropped.
+    pub(crate) fn report(
+        &mut self,
+        queued_per_slot: Option<f64>,
+        service_time: Duration,
+        host_delay: Duration,
+    ) {
         let Self { priority, objective, began_at, .. } = *self;
-        self.end = Some(QueryEnd { priority, objective, began_at, queued_per_slot, service_time });
+        self.end =
+            Some(QueryEnd { priority, objective, began_at, queued_per_slot, service_time, host_delay });
     }
 }
 
@@ -175,6 +181,7 @@
 
 /// Describes a gather to [`QueryAdmission`].
 pub(crate) fn query_arrival(
+    core: &Core,
     route: &Route,
     req: &CallerRequest,
     options: GatherOptions,
@@ -184,6 +191,7 @@
         id,
         priority: route.priority,
         objective: Duration::from_millis(route.latency_objective_ms),
+        sender: req.sent_on_by().unwrap_or(core.options.gathers.ip()),
         arrived_at: req.arrived_at,
         due_at: options.answer_at,
         // A deadline beyond the route's timeout is not what its callers usually state.
@@ -215,7 +223,7 @@
         let mut admission = core.admission();
         admission.next_id += 1;
         let id = admission.next_id;
-        let arrival = query_arrival(route, req, options, id);
+        let arrival = query_arrival(core, route, req, options, id);
         let entry = admission.index(began_at, index);
         let verdict = entry.queries.offer(began_at, arrival);
         let (tx, rx) = oneshot::channel();
--- a/crates/front/src/caller_request.rs
+++ b/crates/front/src/caller_request.rs
@@ -1,6 +1,9 @@
 //! A caller's request: read completely and checked.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::IpAddr,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use egret_events::{Code, log_request_event};
@@ -131,6 +134,11 @@
         self.id.to_str().unwrap_or("(not text)")
     }
 
+    /// Returns the address of the host that sent the request on; `None` if its caller is connected to this host.
+    pub(crate) fn sent_on_by(&self) -> Option<IpAddr> {
+        self.sender.as_ref().and_then(SenderWatch::address)
+    }
+
     /// Returns whether the host that sent the request to this one has given up and may have sent it elsewhere.
     pub(crate) fn is_abandoned(&self) -> bool {
         self.sender.as_ref().is_some_and(SenderWatch::has_given_up)
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -7,6 +7,7 @@
 mod homes;
 mod latency;
 mod reach;
+mod refusals;
 mod request_cost;
 
 use std::{
@@ -20,8 +21,8 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use egret_policy::{
-    CallerBudgets, LeadTimeEstimator, LimitShare, MARK_MEMORY, RequestCosts, RetryBudget, ReturnSchedule,
-    Suspects, TargetReach,
+    CallerBudgets, LeadTimeEstimator, LimitShare, MARK_MEMORY, RefusalMemory, RequestCosts, RetryBudget,
+    ReturnSchedule, Suspects, TargetReach,
 };
 use egret_routes::{Evacuations, Registry, Replica, ReplicaRun, RouteTable};
 use tokio::sync::{Notify, watch};
@@ -111,6 +112,8 @@
     pub(crate) callers: CallerConnections,
     /// The gathers that run or wait on this host.
     pub(crate) admission: Mutex<Admission>,
+    /// The gatherers that refused a gather of this host a moment ago.
+    refusals: Mutex<RefusalMemory>,
     /// Runs of targets that announced that they shut down, until the control thread takes them.
     leaving: Mutex<Vec<ReplicaRun>>,
     has_leaving: Notify,
@@ -133,6 +136,7 @@
             excluded: ArcSwap::default(),
             suspects: Mutex::new(Suspects::remembering(MARK_MEMORY)),
             admission: Mutex::default(),
+            refusals: Mutex::default(),
             instruments: Instruments::open(),
             gatherers: ArcSwap::default(),
             home_views: Mutex::default(),
--- a/crates/front/src/explain/gathers.rs
+++ b/crates/front/src/explain/gathers.rs
@@ -87,7 +87,7 @@
     let mut queries = core.admission().copy_of(now, plan.index_hash());
     let (limit, in_flight, queued) = queries.load();
     let options = GatherOptions { is_repeat: false, answer_at };
-    let (verdict, wait_max, refused) = match queries.offer(now, query_arrival(route, req, options, 0)) {
+    let (verdict, wait_max, refused) = match queries.offer(now, query_arrival(core, route, req, options, 0)) {
         QueryVerdict::Start => (AdmissionVerdict::Start, None, None),
         QueryVerdict::Wait(until) => {
             (AdmissionVerdict::Wait, Some(until.saturating_duration_since(now)), None)
--- a/crates/front/src/sender_watch.rs
+++ b/crates/front/src/sender_watch.rs
@@ -1,6 +1,7 @@
 //! Whether the host that sent a request still waits for its result.
 
 use std::{
+    net::IpAddr,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
@@ -32,6 +33,11 @@
         Self { stream, last: Arc::default() }
     }
 
+    /// Returns the address of the sender; `None` if the connection has ended.
+    pub(crate) fn address(&self) -> Option<IpAddr> {
+        self.stream.peer()
+    }
+
     /// Returns whether the sender had closed the connection at the last check.
     pub(crate) fn has_given_up(&self) -> bool {
         let now = now();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -40,6 +40,9 @@
 //! - [`GatherProgress`], [`choose_shards`]: hedges, early answers and skipped shards of a gather.
 //! - [`gather_spread`]: which shares of a gather other hosts of the data centre are asked for.
 //! - [`QueryAdmission`]: start, queue or refuse whole queries while demand exceeds what targets complete in time.
+//! - [`SenderTurns`]: the order among hosts whose queries wait for a start.
+//! - [`RefusalRetry`], [`RefusalMemory`]: the other gatherer that is asked after a refusal.
+//! - [`WakeDelay`]: how late a host itself runs a gather.
 //! - [`TargetLoad`], [`RetryBudget`]: load estimates and limits on extra attempts at
 //!   targets.
 //! - [`RequestLimit`], [`LimitShare`]: the limit on requests that a target states for all hosts.
@@ -73,6 +76,8 @@
 mod query_admission;
 mod query_rank;
 mod queue;
+mod refusal_memory;
+mod refusal_retry;
 mod relay_health;
 mod remote_shard_groups;
 mod replica;
@@ -82,6 +87,7 @@
 mod retry_budget;
 mod return_promises;
 mod return_schedule;
+mod sender_turns;
 mod shard_choice;
 mod snapshot;
 mod start_shares;
@@ -93,6 +99,7 @@
 mod ticket;
 mod ticket_registry;
 mod token_bucket;
+mod wake_delay;
 mod warm_up;
 mod weighted_draw;
 mod work;
@@ -117,6 +124,8 @@
 pub use placement::{PlacementRequest, PlacementTarget, refusal};
 pub use query_admission::{QueryAdmission, QueryArrival, QueryEnd, QueryVerdict, common_queue};
 pub use query_rank::{QueryRank, ReturnState};
+pub use refusal_memory::RefusalMemory;
+pub use refusal_retry::RefusalRetry;
 pub use relay_health::RelayHealth;
 pub use remote_shard_groups::{RemoteShardGroup, group_remote_shards};
 pub use replica::{HealthReport, LIVENESS_TTL, ReplicaPhase, SnapshotPlacement};
@@ -125,6 +134,7 @@
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use return_promises::ReturnPromises;
 pub use return_schedule::ReturnSchedule;
+pub use sender_turns::SenderTurns;
 pub use shard_choice::{ShardChoice, ShardEstimate, choose_shards, max_expected_latency};
 pub use snapshot::{ServiceSnapshots, choose_snapshot};
 pub use store_readers::{store_reader_count, store_readers, store_retry_backoff};
@@ -137,6 +147,7 @@
 pub use ticket::{Ticket, TicketError};
 pub use ticket_registry::{Claim, TicketRegistry};
 pub use token_bucket::TokenBucket;
+pub use wake_delay::WakeDelay;
 pub use warm_up::{WarmUpLimits, WarmUpWindow, warm_up_owner};
 pub use weighted_draw::weighted_draw;
 pub use work::{Admission, Completion, Decision, OfferOutcome, Refused, Work, WorkId};
--- a/crates/policy/src/query_admission.rs
+++ b/crates/policy/src/query_admission.rs
@@ -3,14 +3,18 @@
 //! It answers a demand above what the targets can complete in time. A query that starts then makes all others late, and
 //! its own parts may run in vain. See docs/design/query-admission.md.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::IpAddr,
+    time::{Duration, Instant},
+};
 
 use crate::{
     AdmissionQueue, ConcurrencyLimit, QueryRank, QueuedQuery, ReturnPromises, start_shares::StartShares,
 };
 
-/// The queueing delay at the targets that is allowed, as a share of the tightest latency objective on the index.
-const QUEUEING_DELAY_SHARE: f64 = 0.25;
+/// The queueing delay at the targets, and the delay of this host, that are allowed, as a share of the tightest latency
+/// objective on the index.
+const ALLOWED_DELAY_SHARE: f64 = 0.25;
 /// How long a query may wait before it starts, as a share of its objective: a refusal must come that early to be of use.
 const WAIT_OBJECTIVE_SHARE: f64 = 0.25;
 /// The share of the time that it has left after which a caller that was told to wait returns at the latest.
@@ -35,6 +39,8 @@
     pub priority: u32,
     /// The latency objective of its route.
     pub objective: Duration,
+    /// The host at which its caller is connected.
+    pub sender: IpAddr,
     /// When its caller's request arrived at the system.
     pub arrived_at: Instant,
     /// When its answer is due, to reach the caller within the objective.
@@ -56,7 +62,7 @@
     Refuse(Duration),
 }
 
-/// What a query that ended says about the load of the targets.
+/// What a query that ended says about the load of the targets and of this host.
 #[derive(Clone, Copy, Debug)]
 pub struct QueryEnd {
     /// The priority of its route.
@@ -70,6 +76,8 @@
     pub queued_per_slot: Option<f64>,
     /// The typical service time of its parts.
     pub service_time: Duration,
+    /// How late this host ran the query ([`crate::WakeDelay`]).
+    pub host_delay: Duration,
 }
 
 /// The queries of the routes with one priority and objective, which admission does not tell apart.
@@ -108,15 +116,20 @@
         let returning = self.returns.redeem(now, spent, asked_at);
         let rank = QueryRank { priority: query.priority, returning };
         let has_capacity = self.limit.allows(now, self.in_flight);
-        let is_first = has_capacity && self.queue.is_first(now, rank) && self.shares.may_start(now, rank);
+        let duration = Duration::from_secs_f64(kind.duration_s);
+        // A query that takes longer than it has left would be refused rather than wait; an idle host would serve nobody.
+        let is_urgent_on_idle_host = self.in_flight == 0 && now + duration > query.due_at;
+        let may_start = || self.shares.may_start(now, rank) || is_urgent_on_idle_host;
+        let is_within_share = || self.in_flight == 0 || self.queue.is_within_share(now, query.sender, rank);
+        let is_first = has_capacity && self.queue.is_first(now, rank) && may_start() && is_within_share();
         if query.must_start || is_first {
-            self.start(now, rank);
+            self.start(now, rank, query.sender);
             return QueryVerdict::Start;
         }
         if !has_capacity {
             self.shares.record_contention(now, rank);
+            self.queue.record_contention(now, query.sender, rank);
         }
-        let duration = Duration::from_secs_f64(kind.duration_s);
         let promptly = query.arrived_at + query.objective.mul_f64(WAIT_OBJECTIVE_SHARE);
         let in_time = query.due_at.checked_sub(duration).unwrap_or(now);
         let wait_until = promptly.min(in_time);
@@ -124,6 +137,7 @@
         let queued = QueuedQuery {
             id: query.id,
             rank,
+            sender: query.sender,
             queued_at: now,
             wait_until,
             asked_at,
@@ -136,8 +150,9 @@
         QueryVerdict::Wait(wait_until)
     }
 
-    fn start(&mut self, now: Instant, rank: QueryRank) {
+    fn start(&mut self, now: Instant, rank: QueryRank, sender: IpAddr) {
         self.in_flight += 1;
+        self.queue.record_start(now, sender);
         self.shares.record_start(now, rank);
     }
 
@@ -145,12 +160,14 @@
     pub fn start_queued(&mut self, now: Instant) -> Vec<u64> {
         let mut started = Vec::new();
         while self.limit.allows(now, self.in_flight) {
-            let shares = &self.shares;
-            let owed = self.queue.pop(now, |rank| shares.is_owed(now, rank));
-            let Some(query) = owed.or_else(|| self.queue.pop(now, |rank| shares.may_start(now, rank))) else {
+            let (shares, is_idle) = (&self.shares, self.in_flight == 0);
+            let owed = self.queue.pop(now, is_idle, |rank| shares.is_owed(now, rank));
+            let Some(query) =
+                owed.or_else(|| self.queue.pop(now, is_idle, |rank| shares.may_start(now, rank)))
+            else {
                 break;
             };
-            self.start(now, query.rank);
+            self.start(now, query.rank, query.sender);
             started.push(query.id);
         }
         started
@@ -185,7 +202,8 @@
         }
         let allowed = self.allowed_delay(now).as_secs_f64();
         let congestion = end.queued_per_slot.map(|queued| queued * self.service_time_s / allowed);
-        self.limit.record(now, end.began_at, in_flight, congestion);
+        let host_congestion = end.host_delay.as_secs_f64() / allowed;
+        self.limit.record(now, end.began_at, in_flight, congestion, host_congestion);
     }
 
     /// Returns the limit, the queries in flight and those in the queue.
@@ -220,12 +238,12 @@
         self.limit.starts_per_s(Duration::from_secs_f64(duration_s))
     }
 
-    /// Returns the queueing delay at the targets at which all kinds of queries can still be in time.
+    /// Returns the queueing delay at the targets, and the delay of this host, at which all kinds of queries can still be in time.
     fn allowed_delay(&self, now: Instant) -> Duration {
         let recent =
             self.kinds.iter().filter(|kind| now.saturating_duration_since(kind.last_arrival) < KIND_TTL);
         let tightest = recent.map(|kind| kind.objective).min().unwrap_or(Duration::from_secs(1));
-        tightest.mul_f64(QUEUEING_DELAY_SHARE)
+        tightest.mul_f64(ALLOWED_DELAY_SHARE)
     }
 
     fn arrive(&mut self, now: Instant, query: &QueryArrival) -> QueryKind {
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -3,7 +3,10 @@
 
 mod admission_load;
 
-use std::time::{Duration, Instant};
+use std::{
+    net::{IpAddr, Ipv4Addr},
+    time::{Duration, Instant},
+};
 
 use admission_load::{Demand, Load, Pool, ms};
 use egret_policy::{
@@ -18,6 +21,7 @@
         id,
         priority,
         objective: OBJECTIVE,
+        sender: IpAddr::V4(Ipv4Addr::LOCALHOST),
         arrived_at: now,
         due_at: now + OBJECTIVE,
         budget: ms(2500),
@@ -29,7 +33,9 @@
 fn end(admission: &mut QueryAdmission, now: Instant, began_at: Instant, queued_per_slot: f64) {
     let service_time = ms(20);
     let queued_per_slot = Some(queued_per_slot);
-    let end = QueryEnd { priority: 1, objective: OBJECTIVE, began_at, queued_per_slot, service_time };
+    let host_delay = Duration::ZERO;
+    let end =
+        QueryEnd { priority: 1, objective: OBJECTIVE, began_at, queued_per_slot, service_time, host_delay };
     admission.end(now, Some(end));
 }
 
@@ -172,6 +178,46 @@
     }
 }
 
+/// Guards against a host that gets the starts of the others because it sends more, and against one that gets none.
+#[test]
+fn a_sender_with_ten_times_the_demand_leaves_the_others_their_share() {
+    // At three times the capacity the others ask for 1.07 times an equal share of it.
+    for times in [3.0, 8.0, 20.0] {
+        for hosts in [1, 2, 6] {
+            let load = Load::new(Pool::default(), hosts).with_senders(&[10.0, 1.0, 1.0, 1.0, 1.0]);
+            let played = load.play(&[Demand { times, for_s: 20 }]);
+            let (in_time, started) = (played.in_time_by_sender, played.started_by_sender);
+            let equal = in_time.iter().sum::<u64>() as f64 / in_time.len() as f64;
+            let least = *in_time[1..].iter().min().unwrap() as f64;
+            assert!(least > 0.8 * equal, "{times} times, {hosts} hosts: {in_time:?} in time");
+            // Its callers were refused more often, and come back too late to be in time.
+            let equal = started.iter().sum::<u64>() as f64 / started.len() as f64;
+            assert!(started[0] as f64 > 0.8 * equal, "{times} times, {hosts} hosts: {started:?} started");
+        }
+    }
+}
+
+/// Guards against capacity that is left unused because some of many equal senders had more starts for a moment.
+#[test]
+fn goodput_does_not_depend_on_the_number_of_senders() {
+    for times in [1.0, 2.0] {
+        for hosts in [2, 6] {
+            let goodput = |senders| {
+                let load = Load::new(Pool::default(), hosts).with_senders(&vec![1.0; senders]);
+                load.play(&[Demand { times, for_s: 20 }]).goodput(4, 20)
+            };
+            let one = goodput(1);
+            for senders in [3, 35] {
+                let many = goodput(senders);
+                assert!(
+                    many > 0.95 * one,
+                    "{times} times, {hosts} hosts, {senders} senders: {many:.0} of {one:.0}"
+                );
+            }
+        }
+    }
+}
+
 /// Guards against an overload that keeps itself up: refused callers that return, limits that stay low.
 #[test]
 fn all_are_served_soon_after_the_load_drops() {
