Count the attempt of a gatherer that did not accept in time

A host that asked a second gatherer after 60 ms gave it all attempts of the route again, though the first one may still send the request to one replica of each shard before it sees that its sender has gone.

Change: a repeated gather has one attempt less where shards have more replicas than the route's attempts; a route with one attempt is not repeated there.

Ruled out: that this alone ends it.

--- a/crates/front/src/delegate.rs
+++ b/crates/front/src/delegate.rs
@@ -188,8 +188,13 @@
                 req.log(Code::GathererFailed, &detail);
                 is_repeat |= error.may_have_run();
                 failures += usize::from(error != DelegateError::NoTargets);
-                let must_not_repeat =
-                    error == DelegateError::Broken && has_spare_replicas(core, route, plan, &req.homes);
+                // A gatherer that did not accept in time sends to one replica of each shard at most.
+                let may_exceed = match error {
+                    DelegateError::Broken => true,
+                    DelegateError::NotAccepted => route.attempts_max <= 1,
+                    _ => false,
+                };
+                let must_not_repeat = may_exceed && has_spare_replicas(core, route, plan, &req.homes);
                 if must_not_repeat || error == DelegateError::TimedOut {
                     let reply = GatherReply { may_have_run: true, ..GatherReply::not_run() };
                     return Delegation::Done { reply, ready_at: None };
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -161,6 +161,7 @@
         }
     };
     let mut fan_options = fan_out_options(core, route, req, plan.least_shards(), options.answer_at);
+    fan_options.limits.attempts_max = attempts_left(core, route, plan, req, options);
     fan_options.is_repeat = options.is_repeat;
     fan_options.may_use_remote_gatherers = true;
     let result = fan_out(core, req, route, &plan.shards, fan_options, None).await;
@@ -210,6 +211,7 @@
         return GatherReply::not_run();
     }
     let mut fan_options = fan_out_options(core, route, req, 0, options.answer_at);
+    fan_options.limits.attempts_max = attempts_left(core, route, plan, req, options);
     fan_options.is_repeat = options.is_repeat;
     let parts_sender = PartsSender::new(&fan_options.limits, shards, plan.top_k, replies);
     let result = fan_out(core, req, route, &services, fan_options, Some(parts_sender)).await;
@@ -220,6 +222,22 @@
         .map_or_else(GatherReply::not_run, |parts_sender| parts_sender.last_reply(&result))
 }
 
+/// Returns how many replicas of each shard this host may send a gather to.
+///
+/// A gatherer that accepted it late may send it to one replica of each shard before it sees that the sender has given up.
+/// That one counts, as it may be another than those that this host chooses.
+fn attempts_left(
+    core: &Core,
+    route: &Route,
+    plan: &GatherPlan,
+    req: &CallerRequest,
+    options: GatherOptions,
+) -> usize {
+    let attempts_max = route.attempts_max.max(1) as usize;
+    let may_exceed = options.is_repeat && has_spare_replicas(core, route, plan, &req.homes);
+    if may_exceed { (attempts_max - 1).max(1) } else { attempts_max }
+}
+
 fn log_result(req: &CallerRequest, route: &Route, result: &FanOutResult) {
     let all = result.parts.len();
     let missing = all - result.receipts().len();
