Count failures before a connection that was opened and then broke

Cause: a host that is partitioned from its targets checks whether it reaches any only after connections to two targets failed with none opened in between. A device that accepts connections and resets them during their first exchange gives the sequence opened, failed, opened, failed; each opening cleared the failure before it, and no check began. Where other connections live on and answer, silence starts no check either.

Ruled out: late processing at the host. Its log shows non-idempotent requests that fail 61 to 66 ms after their start, one after the other for six seconds, and no check (E524) at all.

Change: failures before an opened connection are kept aside and count again if that connection breaks. A connection that lasts still clears the failures before it, as the existing test requires.

The new test in policy fails without the change.

--- a/crates/front/src/core/reach.rs
+++ b/crates/front/src/core/reach.rs
@@ -58,8 +58,8 @@
     }
 
     /// Records that a connection to a target was opened.
-    pub(crate) fn target_connected(&self) {
-        lock(&self.reach).connected();
+    pub(crate) fn target_connected(&self, target: &Target) {
+        lock(&self.reach).connected(target.replica.address);
     }
 
     /// Records that a connection to a target failed, and checks whether others can be reached if
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -168,7 +168,7 @@
             core.instruments.connection();
             let connection = Connection::open(target).await;
             match connection {
-                Some(_) => core.target_connected(),
+                Some(_) => core.target_connected(target),
                 None => core.target_connection_failed(target),
             }
             return connection;
--- a/crates/policy/src/target_reach.rs
+++ b/crates/policy/src/target_reach.rs
@@ -38,6 +38,11 @@
     answered_at: Option<Instant>,
     /// Targets to which connections failed since one was last opened.
     failed: Vec<SocketAddr>,
+    /// The target to which a connection was opened last.
+    opened: Option<SocketAddr>,
+    /// Targets that had failed before; they count again if the opened connection breaks, as a device on the way
+    /// may accept connections itself and then reset them.
+    failed_before: Vec<SocketAddr>,
     is_checking: bool,
     checked_at: Option<Instant>,
     lost_at: Option<Instant>,
@@ -66,15 +71,22 @@
     }
 
     /// Records that a connection to a target was opened.
-    pub fn connected(&mut self) {
-        self.failed.clear();
+    pub fn connected(&mut self, target: SocketAddr) {
+        self.opened = Some(target);
+        let failed = std::mem::take(&mut self.failed);
+        failed.into_iter().for_each(|target| add(&mut self.failed_before, target));
+        // As many as start a check; targets come and go.
+        self.failed_before.truncate(FAILED_TARGETS_MIN);
     }
 
     /// Records that no connection to a target could be opened, or that one broke during an exchange.
     pub fn connection_failed(&mut self, target: SocketAddr) {
-        if !self.failed.contains(&target) {
-            self.failed.push(target);
+        if self.opened == Some(target) {
+            self.opened = None;
+            let failed = std::mem::take(&mut self.failed_before);
+            failed.into_iter().for_each(|target| add(&mut self.failed, target));
         }
+        add(&mut self.failed, target);
     }
 
     /// Returns whether a check is due, and counts it as started if so.
@@ -94,6 +106,8 @@
         self.checked_at = Some(now);
         if has_reached {
             self.failed.clear();
+            self.failed_before.clear();
+            self.opened = None;
             self.silent_from = None;
         }
         match (self.lost_at, has_reached) {
@@ -128,6 +142,12 @@
     }
 }
 
+fn add(targets: &mut Vec<SocketAddr>, target: SocketAddr) {
+    if !targets.contains(&target) {
+        targets.push(target);
+    }
+}
+
 fn silence_limit(typical_latency: Duration) -> Duration {
     typical_latency.mul_f64(SILENCE_FACTOR).max(SILENCE_MIN)
 }
--- a/crates/policy/tests/target_reach.rs
+++ b/crates/policy/tests/target_reach.rs
@@ -33,11 +33,23 @@
 fn a_connection_that_opens_clears_failures_of_others() {
     let mut reach = TargetReach::default();
     reach.connection_failed(target(1));
-    reach.connected();
+    reach.connected(target(3));
     reach.connection_failed(target(2));
     assert!(!reach.start_check(Instant::now()));
 }
 
+/// Between a host and all targets, a device may accept each connection and reset it during its first exchange.
+#[test]
+fn a_connection_that_opens_and_breaks_clears_no_failures() {
+    let mut reach = TargetReach::default();
+    for at in 1..=2 {
+        assert!(!reach.start_check(Instant::now()));
+        reach.connected(target(at));
+        reach.connection_failed(target(at));
+    }
+    assert!(reach.start_check(Instant::now()));
+}
+
 #[test]
 fn exchanges_without_any_answer_start_a_check_and_answers_of_any_target_prevent_it() {
     let start = Instant::now();
