Take targets to be reachable only if a connection lasts 250 ms

Cause: a partitioned host checks every 250 ms whether targets can be reached again, by connections that must last 20 ms. The device that resets connections (the stand-in target in the test) is late when it is short of CPU time. One of the six connections of a check then lasted, the host took all targets to be reachable (E525) 5.8 s after the loss, while the partition went on, and failed 24 of 153 requests until its next check.

Change: such a connection must last 250 ms. A check ends early when its connections are reset, so a loss is noticed as fast as before. The check whether a request crashed its target keeps 20 ms, as requests go on crashing targets until it ends.

--- a/crates/front/src/core/crash_check.rs
+++ b/crates/front/src/core/crash_check.rs
@@ -18,6 +18,9 @@
 /// The delay after a broken connection until the host tries to connect to the target, to learn
 /// whether it crashed.
 const CRASH_CHECK_DELAY: Duration = Duration::from_millis(20);
+/// How long a connection to another target must last to show that targets can be reached. Shorter than in
+/// checks of a partition: until the request is marked, it may crash more targets.
+const OTHER_CONNECTION_TIME: Duration = Duration::from_millis(20);
 
 impl Core {
     /// Checks whether a request whose connection broke crashed its target, and marks it as suspect if so.
@@ -35,7 +38,8 @@
             };
             let mut others = core.targets.load().sample(CHECKED_TARGETS + 1);
             others.retain(|other| !Arc::ptr_eq(other, &target));
-            let mut outcomes = join_all(others.iter().map(connect_outcome)).await;
+            let connecting = others.iter().map(|other| connect_outcome(other, OTHER_CONNECTION_TIME));
+            let mut outcomes = join_all(connecting).await;
             let is_partitioned = core.is_partitioned();
             if is_partitioned {
                 // The links may just have come back: a target that can be reached now shows nothing.
--- a/crates/front/src/core/reach.rs
+++ b/crates/front/src/core/reach.rs
@@ -16,8 +16,11 @@
 /// How many targets a check tries, so that a few that are down do not look like a partition.
 pub(super) const CHECKED_TARGETS: usize = 6;
 /// How long a connection that a check opened must last: a device on the way may accept connections
-/// itself and then reset them.
-const CHECKED_CONNECTION_TIME: Duration = Duration::from_millis(20);
+/// itself and then reset them. One short of CPU time did so more than 20 ms later, and a partitioned host
+/// took the targets to be reachable again.
+const CHECKED_CONNECTION_TIME: Duration = Duration::from_millis(250);
+/// How often such a connection is examined, so that a check of connections that are reset at once ends early.
+const CONNECTION_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// A partitioned host without an answer for this long has no open connection that still works: one
 /// check takes that long, and exchanges go on meanwhile.
 const ANSWERS_EXPECTED_WITHIN: Duration = Duration::from_millis(250);
@@ -91,7 +94,8 @@
     /// Tries to connect to some targets and draws the conclusion.
     async fn check_reach(self: Arc<Self>) {
         let targets = self.targets.load().sample(CHECKED_TARGETS);
-        let reached = join_all(targets.iter().map(connect_outcome)).await;
+        let outcomes = targets.iter().map(|target| connect_outcome(target, CHECKED_CONNECTION_TIME));
+        let reached = join_all(outcomes).await;
         // A host without targets has nothing to be partitioned from.
         let has_reached = targets.is_empty() || reached.contains(&ConnectOutcome::Opened);
         let (change, failed, answer_age) = {
@@ -120,13 +124,16 @@
     }
 }
 
-/// Tries to connect to a target; a connection that does not last counts as silence.
-pub(super) async fn connect_outcome(target: &Arc<Target>) -> ConnectOutcome {
+/// Tries to connect to a target; a connection that does not last for `lasting` counts as silence.
+pub(super) async fn connect_outcome(target: &Arc<Target>, lasting: Duration) -> ConnectOutcome {
     let connection = match Connection::try_open(target).await {
         Ok(connection) => connection,
         Err(outcome) => return outcome,
     };
-    tokio::time::sleep(CHECKED_CONNECTION_TIME).await;
+    let until = now() + lasting;
+    while now() < until && !connection.sender.is_closed() {
+        tokio::time::sleep(CONNECTION_POLL_INTERVAL).await;
+    }
     let is_open = !connection.sender.is_closed();
     connection.keep(target);
     if is_open { ConnectOutcome::Opened } else { ConnectOutcome::Silent }
