Let a host without targets ask a gatherer that is ejected

Cause: a host that reaches no target sends its callers' requests through gatherers that do. One call that the gatherer does not accept within 60 ms ejects it for 500 ms. Where it is the only one left, the host refused all requests until then as if no host that reaches the targets were known: 41 of 108 requests in the counted window.

Ruled out: a late notice of the partition; the host had noticed it 4.4 s before, and its requests were forwarded until the ejection.

Change: if no other gatherer can be picked, a partitioned host asks one that is ejected. A gatherer that is frozen costs its requests the 60 ms, where they were refused at once before.

--- a/crates/front/src/delegate.rs
+++ b/crates/front/src/delegate.rs
@@ -181,7 +181,7 @@
 }
 
 /// Picks a gatherer that was not tried: of the own data centre if that is `near` the targets, of
-/// another one that is, or else of any if this host reaches no target.
+/// another one that is, or else of any if this host reaches no target, ejected ones included.
 pub(crate) fn pick_gatherer(
     core: &Core,
     near: &[Arc<str>],
@@ -194,7 +194,8 @@
     let nearest = near.contains(own).then(|| pick(&[own])).flatten();
     let near: Vec<&str> = near.iter().map(|name| &**name).collect();
     let any: Vec<&str> = gatherers.services().collect();
-    let anywhere = || core.is_partitioned().then(|| pick(&any)).flatten();
+    // Only a refusal is left, and a gatherer is ejected when it is late once.
+    let anywhere = || gatherers.pick(now(), &any, tried, PickFilter::Any).filter(|_| core.is_partitioned());
     nearest.or_else(|| pick(&near)).or_else(anywhere)
 }
 
