Wait in proofs until a daemon that gets SIGSTOP has stopped

Cause: a_paused_home_entry_runs_a_resent_request_once pauses an entry and then sends it a request. On a busy machine the threads of the entry run on until one of them gets a processor and takes the signal; that took 179 ms in 1 of 4 runs at a load of 30 on 7 cores, 1.3 ms in the others. The entry then began the request, was paused past its deadline, and its outcome was "6 of 6 shards are missing", as listed in KNOWN-RED.txt.

Ruled out: a fault of the entry. In a trial that sends the request 3, 6 and 15 ms before the signal all three runs fail with just that message; a run that began midway found its address in use, one with 25 ms is green, as the request had ended before the pause.

Change: after SIGSTOP, Daemon::signal returns when all threads of the process have stopped.

--- a/crates/proofs/src/daemon.rs
+++ b/crates/proofs/src/daemon.rs
@@ -3,6 +3,7 @@
 use std::{
     path::PathBuf,
     process::{Child, Command, Stdio},
+    time::{Duration, Instant},
 };
 
 use nix::{
@@ -30,6 +31,9 @@
     pub rss_mb: f64,
 }
 
+/// How long a process may take to stop after SIGSTOP on a busy machine.
+const STOP_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// A running process of a daemon, killed when dropped.
 #[derive(Debug)]
 pub struct Daemon {
@@ -71,8 +75,30 @@
     }
 
     /// Sends a signal to the process; a failure to send it is ignored.
+    ///
+    /// After SIGSTOP it waits until all threads have stopped: on a busy machine they run on until one of them
+    /// gets a processor and takes the signal, and may begin work on what is sent to them meanwhile.
+    ///
+    /// # Panics
+    /// Panics if the process does not stop in time.
     pub fn signal(&self, signal: Signal) {
-        let _ = kill(Pid::from_raw(self.child.id().cast_signed()), signal);
+        let is_sent = kill(Pid::from_raw(self.child.id().cast_signed()), signal).is_ok();
+        let started = Instant::now();
+        while is_sent && signal == Signal::SIGSTOP && !self.is_stopped() {
+            assert!(started.elapsed() < STOP_TIMEOUT, "process {} does not stop", self.id());
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    /// Returns whether no thread of the process can run: all are stopped or have ended.
+    fn is_stopped(&self) -> bool {
+        let threads = std::fs::read_dir(format!("/proc/{}/task", self.id())).into_iter().flatten().flatten();
+        threads.into_iter().all(|thread| {
+            let stat = std::fs::read_to_string(thread.path().join("stat")).unwrap_or_default();
+            // proc(5): the state follows the name in brackets; T is stopped, Z and X are ended.
+            let state = stat.rsplit(')').next().and_then(|rest| rest.trim_start().chars().next());
+            state.is_none_or(|state| "TZX".contains(state))
+        })
     }
 
     /// Returns the exit code if the process has ended, other than by a signal.
