--- a/crates/proofs/src/daemon.rs
+++ b/crates/proofs/src/daemon.rs
@@ -1,6 +1,8 @@
 //! Starts a daemon as a process, sends it signals and reads its resource usage.
 
 use std::{
+    collections::BTreeMap,
+    fs::DirEntry,
     path::PathBuf,
     process::{Child, Command, Stdio},
     time::{Duration, Instant},
@@ -118,6 +120,22 @@
         ResourceUsage { cpu_secs: (field(11) + field(12)) / TICKS_PER_SECOND, rss_mb: field(21) * PAGE_MB }
     }
 
+    /// Returns for how long each thread that serves traffic was ready to run but waited for a processor, by
+    /// thread id.
+    #[must_use]
+    pub fn processor_waits(&self) -> BTreeMap<u32, Duration> {
+        let threads = std::fs::read_dir(format!("/proc/{}/task", self.id())).into_iter().flatten().flatten();
+        let wait = |thread: DirEntry| {
+            let name = std::fs::read_to_string(thread.path().join("comm")).ok()?;
+            let times = std::fs::read_to_string(thread.path().join("schedstat")).ok()?;
+            // The time on a processor, the time waiting for one, and how often it ran.
+            let wait_ns =
+                times.split_whitespace().nth(1)?.parse().ok().filter(|_| name.trim() == "traffic")?;
+            Some((thread.file_name().to_str()?.parse().ok()?, Duration::from_nanos(wait_ns)))
+        };
+        threads.filter_map(wait).collect()
+    }
+
     /// Returns the process id.
     #[must_use]
     pub fn id(&self) -> u32 {
--- a/crates/proofs/src/fleet.rs
+++ b/crates/proofs/src/fleet.rs
@@ -1,6 +1,7 @@
 //! A small fleet of daemon processes, with stand-ins for targets and platform in the test process.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{Mutex, PoisonError},
     time::Duration,
@@ -231,6 +232,13 @@
         }
     }
 
+    /// Returns [`Daemon::processor_waits`] of each daemon.
+    #[must_use]
+    pub fn processor_waits(&self) -> Vec<BTreeMap<u32, Duration>> {
+        let daemons = self.daemons.lock().unwrap_or_else(PoisonError::into_inner);
+        daemons.iter().flatten().flatten().map(Daemon::processor_waits).collect()
+    }
+
     /// Returns a daemon's exit code if it has ended, other than by a signal.
     #[must_use]
     pub fn exit_code(&self, host: usize, role: Role) -> Option<i32> {
