Wait longer for the acceptance of a gather that would be refused otherwise

Cause: a host that refuses a gather itself asks another host first. If that one does not accept within 60 ms, the request may have run there, and the caller gets 502 in place of the 503 that was certain before. The traced calls were read after 66 to 107 ms by hosts that then refused them, too.

Ruled out: limits that are not kept, and refusals without Retry-After; all answers that were no 200 or 503 were 502 after "did not accept the request in time" (E505).

Change: while the request cannot have run, such a call may take until a quarter of the latency objective after the request's arrival, in which a refusal counts as prompt, and 60 ms at least. Other calls keep 60 ms. A host that freezes costs such a request that much more time.

--- a/crates/front/src/delegate.rs
+++ b/crates/front/src/delegate.rs
@@ -32,7 +32,11 @@
 /// The path at which gatherers take requests of other hosts.
 pub(crate) const GATHER_PATH: &str = "/v1/gather";
 /// How long a gatherer may take to accept a request, which it does before it sends any to targets.
-const ACCEPT_TIMEOUT: Duration = Duration::from_millis(60);
+pub(crate) const ACCEPT_TIMEOUT: Duration = Duration::from_millis(60);
+/// How long a gatherer may take to accept a gather that this host would refuse otherwise, as a share of the latency
+/// objective from the request's arrival: a refusal counts as prompt until then. After a call that was given up
+/// earlier, the caller can no longer be told that nothing ran.
+const PROMPT_SHARE: f64 = 0.25;
 /// The limit of all replies to one call, in bytes: the receipts and records of hundreds of shards.
 const REPLIES_BYTES_MAX: usize = 16 << 20;
 /// How many gatherers are tried before this host gathers itself.
@@ -111,7 +115,7 @@
         return Delegation::Local { is_repeat: false };
     }
     let options = GatherOptions { is_repeat: false, answer_at };
-    delegate_to(core, route, plan, req, options, &near).await
+    delegate_to(core, route, plan, req, options, &near, ACCEPT_TIMEOUT).await
 }
 
 /// Delegates a gather to another host, even if this host is a gatherer near the targets; the answer
@@ -124,10 +128,14 @@
     options: GatherOptions,
 ) -> Delegation {
     let near = data_centres(core, plan, &req.homes);
-    delegate_to(core, route, plan, req, options, &near).await
+    let prompt_until =
+        req.arrived_at + Duration::from_millis(route.latency_objective_ms).mul_f64(PROMPT_SHARE);
+    let accept_timeout = prompt_until.saturating_duration_since(now()).max(ACCEPT_TIMEOUT);
+    delegate_to(core, route, plan, req, options, &near, accept_timeout).await
 }
 
-/// Tries gatherers in the data centres `near` the targets, those of the own data centre first.
+/// Tries gatherers in the data centres `near` the targets, those of the own data centre first. While the request
+/// cannot have run, each has `first_accept_timeout` to accept it.
 async fn delegate_to(
     core: &Arc<Core>,
     route: &Route,
@@ -135,6 +143,7 @@
     req: &Arc<CallerRequest>,
     options: GatherOptions,
     near: &[Arc<str>],
+    first_accept_timeout: Duration,
 ) -> Delegation {
     let GatherOptions { mut is_repeat, answer_at } = options;
     let mut tried = Vec::new();
@@ -144,7 +153,10 @@
         tried.push(Arc::clone(&gatherer.replica.id));
         let sent_at = now();
         let message = message(route, plan, req, None, GatherOptions { is_repeat, answer_at });
-        let called = call(Arc::clone(&gatherer), GATHER_PATH, route, message, end_at(route, req)).await;
+        let accept_timeout = if is_repeat { ACCEPT_TIMEOUT } else { first_accept_timeout };
+        let called =
+            call(Arc::clone(&gatherer), GATHER_PATH, route, message, end_at(route, req), accept_timeout)
+                .await;
         let reply = match called {
             Ok(mut replies) => replies.next::<GatherReply>().await,
             Err(error) => Err(error),
@@ -241,7 +253,8 @@
     };
     // Each message holds a copy of the body; without memory for it this host asks the targets itself.
     let message = core.memory.hold(MemoryUse::Messages, message);
-    let called = message.map(|message| call(gatherer, GATHER_PATH, route, message, end_at(route, req)));
+    let called = message
+        .map(|message| call(gatherer, GATHER_PATH, route, message, end_at(route, req), ACCEPT_TIMEOUT));
     async move {
         match called {
             Some(called) => called.await,
@@ -260,12 +273,13 @@
     route: &Route,
     message: Bytes,
     end_at: Instant,
+    accept_timeout: Duration,
 ) -> impl Future<Output = Result<FrameReader, DelegateError>> + Send + use<> {
     let typical_latency =
         Duration::from_millis(route.latency_objective_ms).mul_f64(TYPICAL_GATHER_OBJECTIVE_SHARE);
     async move {
         let mut running = InFlightGuard::begin(Arc::clone(&gatherer), now(), typical_latency);
-        let accepted = send_until_accepted(&gatherer, path, message, end_at).await;
+        let accepted = send_until_accepted(&gatherer, path, message, end_at, accept_timeout).await;
         match accepted {
             Ok((connection, body)) => Ok(FrameReader::new(connection, running, body, end_at)),
             Err(error) => {
@@ -286,8 +300,9 @@
     path: &'static str,
     body: Bytes,
     end_at: Instant,
+    accept_timeout: Duration,
 ) -> Result<(Connection, Incoming), DelegateError> {
-    let accept_by = tokio::time::Instant::from_std(end_at.min(now() + ACCEPT_TIMEOUT));
+    let accept_by = tokio::time::Instant::from_std(end_at.min(now() + accept_timeout));
     loop {
         let connecting = async {
             match Connection::reuse(gatherer).await {
--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -16,7 +16,7 @@
     carried_headers::{decode_headers, encode_headers},
     clock::now,
     core::Core,
-    delegate::{DelegateError, GATHERERS_ASKED_MAX, call, pick_gatherer},
+    delegate::{ACCEPT_TIMEOUT, DelegateError, GATHERERS_ASKED_MAX, call, pick_gatherer},
     forward_call::{ForwardCall, ForwardReply, ForwardedAnswer},
     target_answer::{TargetAnswer, is_final_status},
 };
@@ -49,8 +49,9 @@
         let gatherer = pick_gatherer(core, &near, &tried, &req.homes)?;
         tried.push(Arc::clone(&gatherer.replica.id));
         let message = egret_wire::encode_compact(&message(route, service, req, options));
+        let end_at = end_at(route, req);
         let called =
-            call(Arc::clone(&gatherer), FORWARD_PATH, route, message.into(), end_at(route, req)).await;
+            call(Arc::clone(&gatherer), FORWARD_PATH, route, message.into(), end_at, ACCEPT_TIMEOUT).await;
         let reply = match called {
             Ok(mut replies) => replies.next::<ForwardReply>().await,
             Err(error) => Err(error),
