--- a/crates/front/src/delegate.rs
+++ b/crates/front/src/delegate.rs
@@ -16,6 +16,7 @@
 use crate::{
     Mechanism,
     answer::end_at,
+    call_deadlines::CallDeadlines,
     caller_request::CallerRequest,
     carried_headers::encode_headers,
     clock::now,
@@ -31,8 +32,6 @@
 
 /// The path at which gatherers take requests of other hosts.
 pub(crate) const GATHER_PATH: &str = "/v1/gather";
-/// How long a gatherer may take to accept a request, which it does before it sends any to targets.
-const ACCEPT_TIMEOUT: Duration = Duration::from_millis(60);
 /// The limit of all replies to one call, in bytes: the receipts and records of hundreds of shards.
 const REPLIES_BYTES_MAX: usize = 16 << 20;
 /// How many gatherers are tried before this host gathers itself.
@@ -135,7 +134,8 @@
 /// Tries gatherers in the data centres `near` the targets, those of the own data centre first.
 ///
 /// A gather that one host refused, which may be this one, is sent to one gatherer that did not refuse such a gather a
-/// moment ago.
+/// moment ago. That one has longer to accept it, as the refusal is prompt until then, and a gather that may have run
+/// can no longer be refused as not run.
 async fn delegate_to(
     core: &Arc<Core>,
     route: &Route,
@@ -164,9 +164,8 @@
         tried.push(Arc::clone(&gatherer.replica.id));
         let sent_at = now();
         let message = message(route, plan, req, None, GatherOptions { is_repeat, answer_at });
-        let connect_by = retry.connect_by(end_at);
-        let called =
-            call_connected_by(Arc::clone(&gatherer), GATHER_PATH, route, message, end_at, connect_by).await;
+        let deadlines = CallDeadlines { end_at, prompt_until: retry.prompt_until() };
+        let called = call(Arc::clone(&gatherer), GATHER_PATH, route, message, deadlines).await;
         let reply = match called {
             Ok(mut replies) => replies.next::<GatherReply>().await,
             Err(error) => Err(error),
@@ -224,7 +223,7 @@
 }
 
 /// Picks a gatherer that was not tried: of the own data centre if that is `near` the targets, of
-/// another one that is, or else of any if this host reaches no target.
+/// another one that is, or else of any if this host reaches no target, ejected ones included.
 pub(crate) fn pick_gatherer(
     core: &Core,
     near: &[Arc<str>],
@@ -248,7 +247,8 @@
     let nearest = near.contains(own).then(|| pick(&[own])).flatten();
     let near: Vec<&str> = near.iter().map(|name| &**name).collect();
     let any: Vec<&str> = gatherers.services().collect();
-    let anywhere = || core.is_partitioned().then(|| pick(&any)).flatten();
+    // Only a refusal is left, and a gatherer is ejected when it is late once.
+    let anywhere = || gatherers.pick(now(), &any, tried, PickFilter::Any).filter(|_| core.is_partitioned());
     nearest.or_else(|| pick(&near)).or_else(anywhere)
 }
 
@@ -292,9 +292,10 @@
         Backend::Gather(plan) => message(route, plan, req, Some(shards), options),
         Backend::One(_) | Backend::Split(_) => Bytes::new(),
     };
+    let deadlines = CallDeadlines::until(end_at(route, req));
     // Each message holds a copy of the body; without memory for it this host asks the targets itself.
     let message = core.memory.hold(MemoryUse::Messages, message);
-    let called = message.map(|message| call(gatherer, GATHER_PATH, route, message, end_at(route, req)));
+    let called = message.map(|message| call(gatherer, GATHER_PATH, route, message, deadlines));
     async move {
         match called {
             Some(called) => called.await,
@@ -305,34 +306,21 @@
 
 /// Sends a call to a gatherer and waits until it is accepted; returns the reader of its replies.
 ///
-/// Neither the acceptance nor the replies are waited for after `end_at`: a gatherer that froze, or whose link was cut
-/// after it had accepted, leaves nothing unacknowledged, so that the connection does not break by itself.
+/// Nothing is waited for after its deadline: a gatherer that froze, or whose link was cut after it had accepted, leaves nothing unacknowledged, so that the connection does not break by itself.
 pub(crate) fn call(
     gatherer: Arc<Target>,
     path: &'static str,
     route: &Route,
     message: Bytes,
-    end_at: Instant,
-) -> impl Future<Output = Result<FrameReader, DelegateError>> + Send + use<> {
-    call_connected_by(gatherer, path, route, message, end_at, end_at)
-}
-
-/// Like [`call`], but the call is not sent if there is no connection at `connect_by`.
-fn call_connected_by(
-    gatherer: Arc<Target>,
-    path: &'static str,
-    route: &Route,
-    message: Bytes,
-    end_at: Instant,
-    connect_by: Instant,
+    deadlines: CallDeadlines,
 ) -> impl Future<Output = Result<FrameReader, DelegateError>> + Send + use<> {
     let typical_latency =
         Duration::from_millis(route.latency_objective_ms).mul_f64(TYPICAL_GATHER_OBJECTIVE_SHARE);
     async move {
         let mut running = InFlightGuard::begin(Arc::clone(&gatherer), now(), typical_latency);
-        let accepted = send_until_accepted(&gatherer, path, message, end_at, connect_by).await;
+        let accepted = send_until_accepted(&gatherer, path, message, deadlines).await;
         match accepted {
-            Ok((connection, body)) => Ok(FrameReader::new(connection, running, body, end_at)),
+            Ok((connection, body)) => Ok(FrameReader::new(connection, running, body, deadlines.end_at)),
             Err(error) => {
                 let end = match error {
                     DelegateError::OtherPlan => ExchangeEnd::Shed,
@@ -350,11 +338,11 @@
     gatherer: &Arc<Target>,
     path: &'static str,
     body: Bytes,
-    end_at: Instant,
-    connect_by: Instant,
+    deadlines: CallDeadlines,
 ) -> Result<(Connection, Incoming), DelegateError> {
-    let accept_by = tokio::time::Instant::from_std(end_at.min(now() + ACCEPT_TIMEOUT));
-    let connect_by = accept_by.min(connect_by.into());
+    let started_at = now();
+    let accept_by = tokio::time::Instant::from_std(deadlines.accept_by(started_at));
+    let connect_by = tokio::time::Instant::from_std(deadlines.connect_by(started_at));
     loop {
         let connecting = async {
             match Connection::reuse(gatherer).await {
--- a/crates/front/src/forward.rs
+++ b/crates/front/src/forward.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     answer::end_at,
+    call_deadlines::CallDeadlines,
     caller_request::CallerRequest,
     carried_headers::{decode_headers, encode_headers},
     clock::now,
@@ -49,8 +50,10 @@
         let gatherer = pick_gatherer(core, &near, &tried, &req.homes)?;
         tried.push(Arc::clone(&gatherer.replica.id));
         let message = egret_wire::encode_compact(&message(route, service, req, options));
+        let end_at = end_at(route, req);
         let called =
-            call(Arc::clone(&gatherer), FORWARD_PATH, route, message.into(), end_at(route, req)).await;
+            call(Arc::clone(&gatherer), FORWARD_PATH, route, message.into(), CallDeadlines::until(end_at))
+                .await;
         let reply = match called {
             Ok(mut replies) => replies.next::<ForwardReply>().await,
             Err(error) => Err(error),
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -25,6 +25,7 @@
 mod admission;
 mod answer;
 mod bounded_io;
+mod call_deadlines;
 mod caller_body;
 mod caller_connection;
 mod caller_connections;
--- a/crates/policy/src/refusal_retry.rs
+++ b/crates/policy/src/refusal_retry.rs
@@ -40,10 +40,13 @@
         self.refused_after.is_none() || now < self.due_at
     }
 
-    /// Returns until when a connection to the next gatherer is waited for; a wait to no avail delays the refusal.
+    /// Returns until when a refusal is prompt, if one host refused the gather.
+    ///
+    /// A connection to another gatherer is waited for until then, as a wait to no avail delays the refusal; and so is its
+    /// acceptance, as a gather that was given up earlier can no longer be refused as not run.
     #[must_use]
-    pub fn connect_by(&self, end_at: Instant) -> Instant {
-        if self.refused_after.is_some() { end_at.min(self.due_at) } else { end_at }
+    pub fn prompt_until(&self) -> Option<Instant> {
+        self.refused_after.map(|_| self.due_at)
     }
 
     /// Records a refusal; returns the time after which the caller may return if it is passed on, or `None` if another
