Evict the connections of the address that holds the most first among equals

Cause: connections were evicted by phase and time without progress alone, so that many new connections of one address closed the older idle ones of all others.

Change: policy::choose_evicted compares addresses within the existing order. An address over limits.caller_address_percent (25 by default) of the callers' connections, or of the bytes of their large requests, gives way first; its requests without progress for 500 ms count as idle. It is an order only: nothing is refused while there is room, and if one address holds everything, nothing changes. The size of an answer that waits to be read includes its headers.

Six new tests of caller_eviction pass; they were not run on the code before, whose interface has no address.

--- a/crates/front/src/caller_connection.rs
+++ b/crates/front/src/caller_connection.rs
@@ -2,13 +2,14 @@
 
 use std::{
     convert::Infallible,
+    net::{IpAddr, Ipv4Addr},
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use egret_policy::Shortage;
 use egret_routes::CallerLimits;
-use hyper::{body::Body, server::conn::http1, service::service_fn};
+use hyper::{body::Body, header::HeaderValue, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, sync::watch};
 
@@ -37,7 +38,10 @@
     closing: watch::Receiver<bool>,
 ) -> impl Future<Output = ()> + Send + 'static {
     // Set before the future is created: on a busy host the future starts to run later.
-    let activity = ActivityCell::accepted_at(now());
+    // It fails if the caller has already closed the connection.
+    let address =
+        stream.peer_addr().map_or(IpAddr::from(Ipv4Addr::UNSPECIFIED), |peer| peer.ip().to_canonical());
+    let activity = ActivityCell::accepted_at(now(), address);
     let open = OpenConnection::new(&core, &activity);
     serve_accepted(core, stream, activity, open, closing)
 }
@@ -68,7 +72,8 @@
             let arrival = activity.begin();
             let mut reply = answer(core, req, arrival, &activity).await;
             let due_at = reply.extensions_mut().remove::<DueAt>().map(|DueAt(due_at)| due_at);
-            activity.answered(due_at, reply.body().size_hint().lower() as usize);
+            let head: usize = reply.headers().values().map(HeaderValue::len).sum();
+            activity.answered(due_at, head + reply.body().size_hint().lower() as usize);
             Ok::<_, Infallible>(reply)
         }
     });
--- a/crates/front/src/caller_connections.rs
+++ b/crates/front/src/caller_connections.rs
@@ -103,7 +103,7 @@
     }
 
     /// Evicts one connection; returns `false` if none may be evicted now.
-    fn evict(&self, shortage: Shortage) -> bool {
+    fn evict(&self, shortage: Shortage, address_percent: usize) -> bool {
         if shortage == Shortage::Memory {
             let now = now();
             let mut evicted_at = lock(&self.memory_evicted_at);
@@ -115,7 +115,7 @@
         }
         let open = lock(&self.open);
         let candidates = open.iter().filter_map(|activity| Some((activity, activity.load()?)));
-        let evicted = choose_evicted(now(), shortage, candidates);
+        let evicted = choose_evicted(now(), shortage, address_percent, candidates);
         evicted.inspect(|activity| activity.evict()).is_some()
     }
 
@@ -162,7 +162,7 @@
 
     /// Evicts one connection to relieve a shortage.
     pub(crate) fn evict_connection(&self, shortage: Shortage) -> bool {
-        let has_evicted = self.callers.evict(shortage);
+        let has_evicted = self.callers.evict(shortage, self.options.caller_address_percent);
         if has_evicted {
             self.callers.note_shortage(shortage);
             self.instruments.eviction(shortage);
--- a/crates/front/src/options.rs
+++ b/crates/front/src/options.rs
@@ -35,6 +35,9 @@
     pub memory_bytes: usize,
     /// The number of file descriptors that this host may have open.
     pub fds_max: usize,
+    /// The percentage of the callers' connections, and of the bytes of their large requests, above which one address
+    /// gives way first when they are short.
+    pub caller_address_percent: usize,
     /// Control addresses of the hosts to contact first; some may be out of date.
     pub seeds: Vec<SocketAddr>,
     /// Limits the extra attempts that all hosts together may send beyond the first attempt at each
--- a/crates/front/src/timed_io.rs
+++ b/crates/front/src/timed_io.rs
@@ -3,6 +3,7 @@
 
 use std::{
     io,
+    net::IpAddr,
     pin::Pin,
     sync::{Arc, Mutex},
     task::{Context, Poll},
@@ -41,6 +42,7 @@
 
 #[derive(Debug)]
 struct Shared {
+    address: IpAddr,
     state: Mutex<State>,
     /// Whether the connection was chosen to be closed for lack of memory or descriptors.
     evicted: watch::Sender<bool>,
@@ -81,8 +83,8 @@
 const ACCEPT_DELAY_MAX: Duration = Duration::from_millis(20);
 
 impl ActivityCell {
-    /// Creates the activity of a connection that was accepted at `at`.
-    pub(crate) fn accepted_at(at: Instant) -> Self {
+    /// Creates the activity of a connection from `address` that was accepted at `at`.
+    pub(crate) fn accepted_at(at: Instant, address: IpAddr) -> Self {
         let state = State {
             activity: Activity::Idle(at),
             began_at: at,
@@ -93,7 +95,8 @@
         };
         let allowance = Allowance::default();
         allowance.set(UNLIMITED);
-        Self(Arc::new(Shared { state: Mutex::new(state), evicted: watch::Sender::new(false), allowance }))
+        let evicted = watch::Sender::new(false);
+        Self(Arc::new(Shared { address, state: Mutex::new(state), evicted, allowance }))
     }
 
     pub(crate) fn get(&self) -> Activity {
@@ -118,7 +121,7 @@
             (Activity::Body(since), _) => (ConnectionPhase::Body, since),
             (Activity::Busy, _) => (ConnectionPhase::Running, state.began_at),
         };
-        Some(ConnectionLoad { phase, progress_at, held_bytes: state.held_bytes })
+        Some(ConnectionLoad { address: self.0.address, phase, progress_at, held_bytes: state.held_bytes })
     }
 
     /// Makes the connection end: at once, or with the answer of its current request.
--- a/crates/policy/src/caller_eviction.rs
+++ b/crates/policy/src/caller_eviction.rs
@@ -1,6 +1,6 @@
 //! Which caller connection is closed when memory or file descriptors are short.
 
-use std::time::Instant;
+use std::{net::IpAddr, time::Instant};
 
 /// What a caller's connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,6 +20,8 @@
 /// A caller's connection, as far as eviction needs to know it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ConnectionLoad {
+    /// The address that the connection comes from: a caller, or a balancer with many callers behind it.
+    pub address: IpAddr,
     /// What the connection is doing.
     pub phase: ConnectionPhase,
     /// Since when no bytes of the body arrived or no bytes of the answer were read; for other phases, when
@@ -41,6 +43,8 @@
 /// Times without progress up to this many milliseconds count as equal, because each caller pauses between
 /// two packets.
 const STALL_UNIT_MS: u128 = 100;
+/// A head or a body arrives faster than this, in milliseconds, unless its caller holds it back.
+const REQUEST_STALL_MIN_MS: u128 = 500;
 /// An answer that is read at all makes progress within this time, in milliseconds.
 const READ_STALL_MIN_MS: u128 = 500;
 
@@ -50,20 +54,33 @@
 /// Chooses the connection to close; returns `None` if there is none that may be closed.
 ///
 /// Among unfinished requests, large ones go before those of an ordinary size, and then the one with the longest
-/// time without progress; times are compared by their doublings. Among equals, the one that holds most goes first. A running request is never chosen,
-/// as its target may have run it. For connections, idle ones go before all others, the longest idle one
-/// first; for memory they are not chosen, as they hold little.
+/// time without progress; times are compared by their doublings. Among equals, those of an address over its share go
+/// first, and then the one that holds most. That share is `address_percent` of the callers' connections, or of the
+/// bytes of their large requests; it only orders evictions. A running request is never chosen, as its target may have run it.
+///
+/// For connections, idle ones go before all others: those of an address over its share first, then the longest idle
+/// one. Stalled requests of such an address count as idle, because its unfinished heads would otherwise displace the
+/// idle connections of all others. For memory idle connections are not chosen, as they hold little.
 pub fn choose_evicted<K>(
     now: Instant,
     shortage: Shortage,
+    address_percent: usize,
     connections: impl IntoIterator<Item = (K, ConnectionLoad)>,
 ) -> Option<K> {
-    let ranked = connections.into_iter().filter_map(|(key, load)| Some((rank(now, shortage, load)?, key)));
+    let connections: Vec<(K, ConnectionLoad)> = connections.into_iter().collect();
+    let shares = AddressShares::of(shortage, address_percent, connections.iter().map(|(_, load)| load));
+    let rank = |load| rank(now, shortage, load, shares.excess(load.address));
+    let ranked = connections.into_iter().filter_map(|(key, load)| Some((rank(load)?, key)));
     ranked.max_by_key(|(rank, _)| *rank).map(|(_, key)| key)
 }
 
-/// Returns the rank of a connection; the greatest one is evicted.
-fn rank(now: Instant, shortage: Shortage, load: ConnectionLoad) -> Option<(bool, u128, usize)> {
+/// Returns the rank of a connection whose address holds `excess`; the greatest one is evicted.
+fn rank(
+    now: Instant,
+    shortage: Shortage,
+    load: ConnectionLoad,
+    excess: usize,
+) -> Option<(bool, u128, u128, usize)> {
     let stalled_ms = now.saturating_duration_since(load.progress_at).as_millis();
     let is_idle = load.phase == ConnectionPhase::Idle;
     match load.phase {
@@ -73,10 +90,52 @@
         _ => {}
     }
     match shortage {
-        Shortage::Connections => Some((is_idle, stalled_ms, load.held_bytes)),
+        Shortage::Connections => {
+            let is_useless = is_idle || excess > 0 && stalled_ms >= REQUEST_STALL_MIN_MS;
+            Some((is_useless, excess as u128, stalled_ms, load.held_bytes))
+        }
         Shortage::Memory => {
             let is_large = load.held_bytes > ORDINARY_BYTES;
-            Some((is_large, u128::from((stalled_ms / STALL_UNIT_MS + 1).ilog2()), load.held_bytes))
+            let stall_class = u128::from((stalled_ms / STALL_UNIT_MS + 1).ilog2());
+            Some((is_large, stall_class, excess as u128, load.held_bytes))
         }
     }
 }
+
+/// What each address holds of what is short, sorted by address.
+struct AddressShares {
+    held: Vec<(IpAddr, usize)>,
+    total: usize,
+    /// The percentage of the total that one address may hold.
+    percent: usize,
+}
+
+impl AddressShares {
+    fn of<'a>(shortage: Shortage, percent: usize, loads: impl Iterator<Item = &'a ConnectionLoad>) -> Self {
+        let amount = |load: &ConnectionLoad| match shortage {
+            Shortage::Connections => 1,
+            Shortage::Memory if load.held_bytes > ORDINARY_BYTES => load.held_bytes,
+            Shortage::Memory => 0,
+        };
+        let mut held: Vec<(IpAddr, usize)> = loads.map(|load| (load.address, amount(load))).collect();
+        held.sort_unstable_by_key(|(address, _)| *address);
+        held.dedup_by(|next, kept| {
+            let is_same = next.0 == kept.0;
+            if is_same {
+                kept.1 += next.1;
+            }
+            is_same
+        });
+        let total = held.iter().map(|(_, amount)| amount).sum();
+        Self { held, total, percent }
+    }
+
+    /// Returns what an address holds if that is over its share, else 0. An address that holds everything has no
+    /// excess, as nobody else waits for it to give way.
+    fn excess(&self, address: IpAddr) -> usize {
+        let found = self.held.binary_search_by_key(&address, |(known, _)| *known);
+        let held = found.map_or(0, |at| self.held[at].1);
+        let is_over = held < self.total && held.saturating_mul(100) > self.total.saturating_mul(self.percent);
+        if is_over { held } else { 0 }
+    }
+}
--- a/crates/policy/tests/caller_eviction.rs
+++ b/crates/policy/tests/caller_eviction.rs
@@ -1,6 +1,9 @@
 //! The choice of the caller connection that is closed when memory or descriptors are short.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::{IpAddr, Ipv4Addr},
+    time::{Duration, Instant},
+};
 
 use egret_policy::{
     ConnectionLoad,
@@ -9,16 +12,26 @@
     choose_evicted,
 };
 
-/// Chooses among connections given as phase, milliseconds without progress, and bytes held.
+/// The default of the setting.
+const ADDRESS_PERCENT: usize = 25;
+
+/// Chooses among connections of one address, given as phase, milliseconds without progress, and bytes held.
 fn chosen(shortage: Shortage, connections: &[(ConnectionPhase, u64, usize)]) -> Option<usize> {
+    let of_one: Vec<_> = connections.iter().map(|&connection| (1, connection)).collect();
+    chosen_of(shortage, &of_one)
+}
+
+/// Chooses among connections that are each given with the last byte of its address.
+fn chosen_of(shortage: Shortage, connections: &[(u8, (ConnectionPhase, u64, usize))]) -> Option<usize> {
     let start = Instant::now();
     let now = start + Duration::from_secs(1000);
-    let load = |&(phase, stalled_ms, held_bytes)| ConnectionLoad {
+    let load = |&(address, (phase, stalled_ms, held_bytes))| ConnectionLoad {
+        address: IpAddr::V4(Ipv4Addr::new(127, 0, 0, address)),
         phase,
         progress_at: now - Duration::from_millis(stalled_ms),
         held_bytes,
     };
-    choose_evicted(now, shortage, connections.iter().map(load).enumerate())
+    choose_evicted(now, shortage, ADDRESS_PERCENT, connections.iter().map(load).enumerate())
 }
 
 /// A body that is still arriving must not be refused in place of one that stopped just short of its end.
@@ -61,3 +74,51 @@
     assert_eq!(chosen(Memory, &connections[..2]), None);
     assert_eq!(chosen(Connections, &connections), Some(1));
 }
+
+/// New idle connections of one address must not displace the older ones of all others.
+#[test]
+fn the_address_with_most_connections_gives_way_first_among_idle_ones() {
+    let mut connections = vec![(2, (Idle, 60_000, 0)), (3, (Idle, 50_000, 0))];
+    connections.extend([(1, (Idle, 10, 0)), (1, (Idle, 30, 0)), (1, (Idle, 20, 0))]);
+    assert_eq!(chosen_of(Connections, &connections), Some(3));
+}
+
+/// Unfinished heads of one address must not displace the idle connections of others, unless they just arrive.
+#[test]
+fn stalled_requests_of_the_address_with_most_connections_count_as_idle() {
+    let of_one = |stalled_ms| vec![(1, (Head, stalled_ms, 0)); 5];
+    let with_idle = |mut connections: Vec<_>| {
+        connections.push((2, (Idle, 60_000, 0)));
+        chosen_of(Connections, &connections)
+    };
+    assert_eq!(with_idle(of_one(100)), Some(5));
+    assert!(with_idle(of_one(800)).is_some_and(|at| at < 5));
+}
+
+/// A balancer's address may hold nearly everything; what its callers still send is not given up for a body that stopped.
+#[test]
+fn a_body_that_makes_progress_is_kept_whatever_its_address_holds() {
+    let mut connections = vec![(1, (Body, 5, 200_000)); 9];
+    connections.push((2, (Body, 3000, 100_000)));
+    assert_eq!(chosen_of(Memory, &connections), Some(9));
+}
+
+#[test]
+fn the_address_with_most_large_bodies_gives_way_first_among_equals() {
+    let connections =
+        [(2, (Body, 5, 250_000)), (1, (Body, 5, 200_000)), (1, (Body, 5, 180_000)), (3, (Body, 5, 100_000))];
+    assert_eq!(chosen_of(Memory, &connections), Some(1));
+}
+
+/// Where one balancer stands for all callers, its address must change nothing.
+#[test]
+fn one_address_that_holds_everything_changes_no_order() {
+    assert_eq!(chosen(Connections, &[(Head, 9000, 0), (Head, 9000, 0), (Idle, 10, 0)]), Some(2));
+}
+
+/// Up to its share of a quarter, an address has no effect.
+#[test]
+fn an_address_within_its_share_does_not_give_way_first() {
+    let connections: Vec<_> = (0..4_u8).map(|at| (at, (Idle, u64::from(at) * 10, 0))).collect();
+    assert_eq!(chosen_of(Connections, &connections), Some(3));
+}
