--- a/crates/front/src/target_set.rs
+++ b/crates/front/src/target_set.rs
@@ -12,7 +12,7 @@
 use egret_routes::{Replica, RouteTable, WarmUp};
 
 pub(crate) use self::ranking::{no_jitter, random_jitter};
-use crate::{request_work::RequestWork, target::Target};
+use crate::{memory_account::MemoryAccount, request_work::RequestWork, target::Target};
 
 /// The expected latency of a service whose targets are all ejected, in typical latencies.
 const ALL_EJECTED_COST: f64 = 20.0;
@@ -87,6 +87,10 @@
     pub(crate) own: SocketAddr,
     /// The hosts of this data centre that may own replicas that warm up.
     pub(crate) warm_up_owners: &'a [SocketAddr],
+    /// Where answers are charged.
+    pub(crate) memory: &'a MemoryAccount,
+    /// Where open connections are charged.
+    pub(crate) connection_memory: &'a MemoryAccount,
 }
 
 impl TargetOptions<'_> {
