--- a/crates/front/src/admission.rs
+++ b/crates/front/src/admission.rs
@@ -132,6 +132,12 @@
 }
 
 impl AdmittedQuery {
+    /// Returns whether another query could start beside this one and those in flight.
+    pub(crate) fn leaves_room(&self) -> bool {
+        let now = now();
+        self.core.admission().index(now, self.index).queries.has_room(now)
+    }
+
     /// Records what the query says about the load of the targets and of this host; it ends when `self` is dropped.
     pub(crate) fn report(
         &mut self,
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -213,6 +213,7 @@
         work: core.request_work(route, req, typical_latency),
         is_repeat: false,
         may_use_remote_gatherers: false,
+        may_spread: false,
     }
 }
 
--- a/crates/front/src/fan_out/spread.rs
+++ b/crates/front/src/fan_out/spread.rs
@@ -14,7 +14,8 @@
     /// Returns the gatherers that are asked for a share of the gather, each with its shards; none where this host has
     /// the processor time for all parts.
     ///
-    /// A gather that may have run elsewhere is not spread: that would send it to further hosts.
+    /// A gather that may have run elsewhere is not spread: that would send it to further hosts. Nor is one that starts
+    /// while others wait: the calls take processor time that those need.
     pub(super) fn shares(&self) -> Vec<(Arc<Target>, Vec<usize>)> {
         let options = &self.core.options;
         let mut gather = SpreadGather {
@@ -22,10 +23,7 @@
             millicores: options.millicores,
             objective: Duration::from_millis(self.route.latency_objective_ms),
         };
-        if !self.options.may_use_remote_gatherers
-            || self.options.is_repeat
-            || !gather.is_too_long()
-            || !self.core.is_enabled(Mechanism::GatherSpread)
+        if !self.options.may_spread || !gather.is_too_long() || !self.core.is_enabled(Mechanism::GatherSpread)
         {
             return Vec::new();
         }
--- a/crates/front/src/fan_out_options.rs
+++ b/crates/front/src/fan_out_options.rs
@@ -21,4 +21,6 @@
     pub(crate) is_repeat: bool,
     /// Whether other gatherers may be asked for parts.
     pub(crate) may_use_remote_gatherers: bool,
+    /// Whether gatherers of the own data centre may be asked for a share of the parts, which takes processor time.
+    pub(crate) may_spread: bool,
 }
--- a/crates/front/src/gather.rs
+++ b/crates/front/src/gather.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     Mechanism,
-    admission::admit,
+    admission::{AdmittedQuery, admit},
     answer::{elapsed_ms, fan_out_options, no_answer},
     caller_request::CallerRequest,
     clock::now,
@@ -169,6 +169,7 @@
     fan_options.limits.attempts_max = attempts_left(core, route, plan, req, options);
     fan_options.is_repeat = options.is_repeat;
     fan_options.may_use_remote_gatherers = true;
+    fan_options.may_spread = !options.is_repeat && admitted.as_ref().is_none_or(AdmittedQuery::leaves_room);
     let result = fan_out(core, req, route, &plan.shards, fan_options, None).await;
     // A gather without any part says nothing about durations and queues.
     if let Some(admitted) = &mut admitted
--- a/crates/policy/src/query_admission.rs
+++ b/crates/policy/src/query_admission.rs
@@ -206,6 +206,12 @@
         self.limit.record(now, end.began_at, in_flight, congestion, host_congestion);
     }
 
+    /// Returns whether one more query may start, and none waits.
+    #[must_use]
+    pub fn has_room(&self, now: Instant) -> bool {
+        self.queue.is_empty() && self.limit.allows(now, self.in_flight)
+    }
+
     /// Returns the limit, the queries in flight and those in the queue.
     #[must_use]
     pub fn load(&self) -> (f64, usize, usize) {
