Read the end of a sender's connection instead of peeking at it

The gatherer started 250 to 500 ms after its sender had closed the connection, so that each check must have missed a close that lay in the socket.

Ruled out: that the close is late on its way only (one attempt less for repeated gathers left three replicas of two), and yields alone.

Change: the check reads. The other host sends nothing between a call and its reply, so a byte that is there breaks the protocol and ends the exchange.

--- a/crates/front/src/shared_stream.rs
+++ b/crates/front/src/shared_stream.rs
@@ -27,11 +27,14 @@
         Self(Arc::new(stream))
     }
 
-    /// Returns whether the peer has closed the connection and nothing is left to read before its end.
+    /// Returns whether the peer has closed the connection, or sent what does not belong there.
+    ///
+    /// Between a call and its reply the other host sends nothing, so the socket is read and not only peeked at: a byte that
+    /// is there breaks the protocol, and the connection is of no more use.
     pub(crate) fn is_closed_by_peer(&self) -> bool {
         let mut next = [MaybeUninit::uninit()];
-        match SockRef::from(&*self.0).peek(&mut next) {
-            Ok(bytes) => bytes == 0,
+        match SockRef::from(&*self.0).recv(&mut next) {
+            Ok(_) => true,
             Err(error) => error.kind() == io::ErrorKind::ConnectionReset,
         }
     }
