Keep refusals of gatherers from being lost for lack of memory

Cause: a reply to another host was charged as an answer, which a flood may leave no memory for; the sender then took a refusal for a gather that may have run. Found in review.

Change: replies are charged by their size, as they are where they are read.

--- a/crates/front/src/gather_server.rs
+++ b/crates/front/src/gather_server.rs
@@ -217,7 +217,9 @@
 ) -> GatherResponse {
     let frames = stream::unfold((core, replies, AbortOnDrop(task)), |(core, mut rx, task)| async move {
         let reply = rx.recv().await?;
-        let frame = core.memory.hold(MemoryUse::Answers, encode_frame(&reply))?;
+        let frame = encode_frame(&reply);
+        // A refusal is small and must not be lost to a flood: the sender would take it for a request that may have run.
+        let frame = core.memory.hold(MemoryUse::Replies.for_size(frame.len()), frame)?;
         Some((Ok::<_, Infallible>(Frame::data(frame)), (core, rx, task)))
     });
     Response::new(StreamBody::new(frames).boxed_unsync())
