Read the address of a sender when its connection is accepted

Cause: a connection that was reset has no peer address, so that an abandoned gather counted as one of this host's own callers.

Change: the address is read once, which saves a system call a gather, too.

--- a/crates/front/src/shared_stream.rs
+++ b/crates/front/src/shared_stream.rs
@@ -20,11 +20,16 @@
 /// The HTTP library sees the end of a connection when it reads again, which a busy host does too late to start nothing
 /// for a peer that has given up.
 #[derive(Clone, Debug)]
-pub(crate) struct SharedStream(Arc<TcpStream>);
+pub(crate) struct SharedStream {
+    stream: Arc<TcpStream>,
+    peer: Option<IpAddr>,
+}
 
 impl SharedStream {
     pub(crate) fn new(stream: TcpStream) -> Self {
-        Self(Arc::new(stream))
+        // A connection that was reset has no peer any more.
+        let peer = stream.peer_addr().ok().map(|peer| peer.ip());
+        Self { stream: Arc::new(stream), peer }
     }
 
     /// Returns whether the peer has closed the connection, or sent what does not belong there.
@@ -33,15 +38,15 @@
     /// is there breaks the protocol, and the connection is of no more use.
     pub(crate) fn is_closed_by_peer(&self) -> bool {
         let mut next = [MaybeUninit::uninit()];
-        match SockRef::from(&*self.0).recv(&mut next) {
+        match SockRef::from(&*self.stream).recv(&mut next) {
             Ok(_) => true,
             Err(error) => error.kind() == io::ErrorKind::ConnectionReset,
         }
     }
 
-    /// Returns the address of the peer; `None` if the connection has ended.
+    /// Returns the address of the peer; `None` if the connection had ended when it was taken.
     pub(crate) fn peer(&self) -> Option<IpAddr> {
-        self.0.peer_addr().ok().map(|peer| peer.ip())
+        self.peer
     }
 
     fn poll_write_with(
@@ -50,8 +55,8 @@
         write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.0.poll_write_ready(cx))?;
-            match write(&self.0) {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match write(&self.stream) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 result => return Poll::Ready(result),
             }
@@ -62,8 +67,8 @@
 impl AsyncRead for SharedStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         loop {
-            ready!(self.0.poll_read_ready(cx))?;
-            match self.0.try_read(buf.initialize_unfilled()) {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read(buf.initialize_unfilled()) {
                 Ok(bytes) => {
                     buf.advance(bytes);
                     return Poll::Ready(Ok(()));
@@ -85,7 +90,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.0).shutdown(Shutdown::Write))
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 
     fn poll_write_vectored(
