Leave no room to senders whose queries cannot wait for it

Cause: a query that was refused at once counted its sender as contended for 150 ms, in which other senders were held back although nobody waited.

Change: only queries that can wait count.

--- a/crates/policy/src/query_admission.rs
+++ b/crates/policy/src/query_admission.rs
@@ -128,11 +128,14 @@
         }
         if !has_capacity {
             self.shares.record_contention(now, rank);
-            self.queue.record_contention(now, query.sender, rank);
         }
         let promptly = query.arrived_at + query.objective.mul_f64(WAIT_OBJECTIVE_SHARE);
         let in_time = query.due_at.checked_sub(duration).unwrap_or(now);
         let wait_until = promptly.min(in_time);
+        // Room that is left to a sender whose query can't wait for it would stay idle.
+        if !has_capacity && wait_until > now {
+            self.queue.record_contention(now, query.sender, rank);
+        }
         let left = query.budget.saturating_sub(now.saturating_duration_since(query.arrived_at));
         let queued = QueuedQuery {
             id: query.id,
