Send the first attempts of a gather in one turn again

Cause: attempts that waited for turns counted as sent, so that the hedge timer, the latencies and the delay of the host included the wait. Found in review.

Change: no turns between the first attempts.

--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -32,10 +32,6 @@
 /// How often skipped services are checked for a target that can take the request now.
 const SKIPPED_CHECK_INTERVAL: Duration = Duration::from_millis(15);
 
-/// How many first attempts of a request of another host are sent before the connections that carry them, and the one
-/// that it came on, get a turn. Parts that are all written at the end go out after a sender gave up meanwhile.
-const SENT_PER_TURN: usize = 16;
-
 /// What a fan-out runs next.
 enum Next {
     /// A request to one more target.
@@ -148,9 +144,7 @@
     if fan_out.lacks_targets() {
         return fan_out.refuse(&attempts);
     }
-    let per_turn = if req.sender.is_some() { SENT_PER_TURN } else { usize::MAX };
-    let attempts = attempts.into_iter().enumerate();
-    running.extend(attempts.map(|(at, attempt)| fan_out.run_attempt(attempt, at / per_turn).boxed()));
+    running.extend(attempts.into_iter().map(|attempt| fan_out.run_attempt(attempt).boxed()));
     // The first poll sends the parts, which is work of this fan-out and no delay.
     if let Poll::Ready(Some(event)) = poll!(running.next()) {
         let more = fan_out.on_event(event);
@@ -246,7 +240,7 @@
     /// Returns the future of what the fan-out runs next.
     fn run(&self, next: Next) -> BoxFuture<'static, FanOutEvent> {
         match next {
-            Next::Attempt(attempt) => self.run_attempt(attempt, 0).boxed(),
+            Next::Attempt(attempt) => self.run_attempt(attempt).boxed(),
             Next::RemoteReply(gatherer) => gatherer.next().boxed(),
         }
     }
--- a/crates/front/src/fan_out/attempts.rs
+++ b/crates/front/src/fan_out/attempts.rs
@@ -102,12 +102,8 @@
         self.progress.record_sent(now(), shard);
     }
 
-    /// Sends an attempt after `turns` turns of other tasks; the returned future ends with its outcome.
-    pub(super) fn run_attempt(
-        &self,
-        next: NextAttempt,
-        turns: usize,
-    ) -> impl Future<Output = FanOutEvent> + Send + use<> {
+    /// Sends an attempt; the returned future ends with its outcome.
+    pub(super) fn run_attempt(&self, next: NextAttempt) -> impl Future<Output = FanOutEvent> + Send + use<> {
         let NextAttempt { shard, target } = next;
         let sent_at = now();
         let wait = self.expected_wait(shard, &target);
@@ -122,9 +118,6 @@
         };
         let run = exchange(Arc::clone(self.core), target, Arc::clone(self.req), options);
         async move {
-            for _ in 0..turns {
-                tokio::task::yield_now().await;
-            }
             let result = run.await;
             let latency = now().saturating_duration_since(sent_at);
             FanOutEvent::Attempt(AttemptEnd { shard, latency, wait, result })
