Count each way in which a late gatherer may reach targets

Cause: three ways past max_attempts, found in review. Two gatherers in a row that do not accept in time left an attempt to a third host; a gatherer asked others for shares without a look at its own sender; a lost share of a request that runs at most once was sent again where shards have one replica.

Change: nothing is repeated after two such gatherers where shards have spare replicas; calls for shares check the sender first; shares are repeated only for requests that may be.

--- a/crates/front/src/delegate.rs
+++ b/crates/front/src/delegate.rs
@@ -185,12 +185,14 @@
             Err(error) => {
                 let detail = format!("route {}: gatherer {} {error}", route.name, gatherer.replica.id);
                 req.log(Code::GathererFailed, &detail);
+                let was_repeat = is_repeat;
                 is_repeat |= error.may_have_run();
                 failures += usize::from(error != DelegateError::NoTargets);
                 // A gatherer that did not accept in time sends to one replica of each shard at most.
                 let may_exceed = match error {
                     DelegateError::Broken => true,
-                    DelegateError::NotAccepted => route.attempts_max <= 1,
+                    // After two of them, no attempt is left.
+                    DelegateError::NotAccepted => was_repeat || route.attempts_max <= 1,
                     _ => false,
                 };
                 let must_not_repeat = may_exceed && has_spare_replicas(core, route, plan, &req.homes);
@@ -248,7 +250,8 @@
     let near: Vec<&str> = near.iter().map(|name| &**name).collect();
     let any: Vec<&str> = gatherers.services().collect();
     // Only a refusal is left, and a gatherer is ejected when it is late once.
-    let anywhere = || gatherers.pick(now(), &any, tried, PickFilter::Any).filter(|_| core.is_partitioned());
+    let any_gatherer = || gatherers.pick_with(now(), &any, tried, PickFilter::Any, jitter);
+    let anywhere = || core.is_partitioned().then(any_gatherer).flatten();
     nearest.or_else(|| pick(&near)).or_else(anywhere)
 }
 
--- a/crates/front/src/fan_out/remote_gatherers.rs
+++ b/crates/front/src/fan_out/remote_gatherers.rs
@@ -102,8 +102,13 @@
             GatherOptions { is_repeat: self.options.is_repeat, answer_at: self.options.limits.objective_at };
         let id = Arc::clone(&gatherer.replica.id);
         let call = call_for_parts(self.core, gatherer, self.route, self.req, &shards, options);
+        let req = Arc::clone(self.req);
         async move {
             let result = async {
+                // The other gatherer watches this host and not the sender of the request.
+                if req.is_abandoned() {
+                    return Err(DelegateError::NotSent);
+                }
                 let mut replies = call.await?;
                 Ok((replies.next().await?, replies))
             };
@@ -175,7 +180,8 @@
             self.progress.undo_sent(shard);
             let replicas = self.targets().targets_of(&self.services[shard]).len();
             let is_over = error == DelegateError::TimedOut;
-            if is_over || may_have_run && replicas > self.options.limits.attempts_max {
+            let must_not_repeat = !self.options.may_retry || replicas > self.options.limits.attempts_max;
+            if is_over || may_have_run && must_not_repeat {
                 self.progress.abandon_shard(shard);
             } else {
                 self.delivered[shard] = usize::from(may_have_run);
