Send no hedges for another host before any of many shards has answered

All parts of a gatherer reach their replicas in one millisecond, 250 to 500 ms after the gather, and are followed by none: the gatherer was cut off, and what it had sent was held up on its way. It could not see that its sender had given up after 60 ms; it hedged the silent shards, so that two replicas each got the request besides those of the second gatherer.

Ruled out: a gatherer that lacks processor time (its parts would be spread over tens of milliseconds), and a close that the check does not see.

Change: a gather over eight shards or more that came from another host is not hedged until a target or a gatherer has answered. One attempt of the first gatherer and one of the second stay within the route's two.

--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -32,6 +32,9 @@
 /// How often skipped services are checked for a target that can take the request now.
 const SKIPPED_CHECK_INTERVAL: Duration = Duration::from_millis(15);
 
+/// The least number of shards of which one answers soon unless this host is cut off.
+const SHARDS_MIN_TO_JUDGE_LINK: usize = 8;
+
 /// What a fan-out runs next.
 enum Next {
     /// A request to one more target.
@@ -72,6 +75,8 @@
     placed_work: Option<RequestWork>,
     /// Whether this host lost all targets since the fan-out began, so that no attempt will be answered.
     has_lost_targets: bool,
+    /// Whether a target or a gatherer has answered.
+    has_answer: bool,
     /// How late this host continues the fan-out of an admitted gather, from when its parts have been sent.
     wake_delay: Option<WakeDelay>,
 }
@@ -116,6 +121,7 @@
         },
         placed_work,
         has_lost_targets: false,
+        has_answer: false,
         wake_delay: None,
     };
     if let Err(retry_after) = fan_out.skip_overloaded() {
@@ -158,6 +164,9 @@
             return fan_out.finish(!running.is_empty());
         }
         let more = match fan_out.progress.next_step(now()) {
+            GatherStep::Hedge(_) if !fan_out.may_hedge() => {
+                wait(&mut running, &mut fan_out, &mut partition, now() + SKIPPED_CHECK_INTERVAL).await
+            }
             GatherStep::Hedge(shard) => {
                 let hedge = fan_out.hedge(shard);
                 if hedge.is_none() {
@@ -270,6 +279,15 @@
         }
     }
 
+    /// Returns whether hedges may be sent.
+    ///
+    /// A gatherer that is cut off does not see that the host that sent it the request has given up and sent it elsewhere.
+    /// What it sends is held up on its way and arrives later, hedges included, so that a request would run on more replicas
+    /// than its route allows. Until any of many shards has answered, the silence is taken to be that of its own link.
+    fn may_hedge(&self) -> bool {
+        self.has_answer || self.req.sender.is_none() || self.services.len() < SHARDS_MIN_TO_JUDGE_LINK
+    }
+
     fn finish(mut self, is_running: bool) -> FanOutResult {
         // A target may be running an attempt that has not ended.
         self.result.may_have_run |= is_running;
--- a/crates/front/src/fan_out/attempts.rs
+++ b/crates/front/src/fan_out/attempts.rs
@@ -127,6 +127,10 @@
     /// Records the outcome of an attempt; returns the retry to send, if any.
     pub(super) fn on_attempt_end(&mut self, attempt: AttemptEnd) -> Option<NextAttempt> {
         let shard = attempt.shard;
+        self.has_answer |= matches!(
+            attempt.result,
+            ExchangeResult::Success(_) | ExchangeResult::Failure(_) | ExchangeResult::NotRun(_)
+        );
         match attempt.result {
             ExchangeResult::Success(answer) => {
                 self.core.with_latency(self.route, |latency| latency.add(attempt.latency));
--- a/crates/front/src/fan_out/remote_gatherers.rs
+++ b/crates/front/src/fan_out/remote_gatherers.rs
@@ -126,7 +126,10 @@
     pub(super) fn on_remote_reply(&mut self, remote: RemoteReply) -> Vec<Next> {
         let RemoteReply { gatherer, shards, result, is_first } = remote;
         let (reply, replies) = match result {
-            Ok(replied) => replied,
+            Ok(replied) => {
+                self.has_answer = true;
+                replied
+            }
             Err(error) => return self.on_gatherer_lost(&gatherer, shards, error, is_first),
         };
         let is_last = reply.is_last;
