--- a/crates/policy/src/gather_spread.rs
+++ b/crates/policy/src/gather_spread.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-/// The processor time that asking for one part takes. Measured: 7 ms of one core for 90 parts.
+/// The processor time that asking for one part takes, on hosts with a share of a core.
 const PART_TIME: Duration = Duration::from_micros(80);
 /// The processor time that a call for parts takes on either host.
 const CALL_TIME: Duration = Duration::from_micros(500);
