--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -1,4 +1,4 @@
-//! Cases of the second independent review. Usage: `egret-review-2 CASE`; the exit code is 1 if the rule was broken, 0 if
+//! Cases of the second independent review. Usage: `egret-review-2 CASE RECORD`; the exit code is 1 if the rule was broken, 0 if
 //! it held, and 2 if the case could not run. `TROUBLE=0` leaves out the disruption.
 
 mod cases;
@@ -7,7 +7,7 @@
 mod site;
 mod store;
 
-use std::{panic::catch_unwind, path::Path, process::ExitCode};
+use std::{panic::catch_unwind, path::PathBuf, process::ExitCode};
 
 use site::Record;
 
@@ -18,7 +18,10 @@
         eprintln!("no case {case:?}");
         return ExitCode::from(2);
     };
-    let path = Path::new("review").join(&case).join("record.txt");
+    let Some(path) = std::env::args_os().nth(2).map(PathBuf::from) else {
+        eprintln!("no file for the record is given");
+        return ExitCode::from(2);
+    };
     let result = catch_unwind(|| {
         let record = Record::create(&path);
         record.line(&format!("case {case}, trouble: {trouble}"));
