Limit the receive buffers of all connections

What callers saw: a process could exceed the memory of its host although its resident memory stayed within it, as bytes that it has received and not read count, too.

Cause: the system's default buffer takes some 128 KB for each connection and grows to megabytes, for connections that wait to be accepted as well; nothing of it is charged.

Change: listening sockets and sockets to targets set SO_RCVBUF before they listen or connect: 8 KiB for callers, 16 KiB for hosts and targets. E543 says that the system refuses it, egret_caller_receive_buffer_bytes is the sum. A body that is larger waits for the reader, so nothing inside the limits is refused.

--- a/crates/events/src/code.rs
+++ b/crates/events/src/code.rs
@@ -142,6 +142,8 @@
     AnswerWithoutMemory = 542, "answer dropped for lack of memory";
     /// Gathers wait or are refused because the targets have queues.
     QueriesLimited = 535, "queries limited";
+    /// The system does not limit the receive buffer of a connection as it was told.
+    ReceiveBufferUnlimited = 543, "receive buffer not limited";
     /// The platform dropped the history after the last known revision.
     StoreHistoryLost = 518, "platform history lost";
     /// The platform's store was restored from a backup.
@@ -181,6 +183,7 @@
                 | Self::EntryUnreadable
                 | Self::StoreRestored
                 | Self::StoreAnswerDropped
+                | Self::ReceiveBufferUnlimited
                 | Self::SettingsRejected
         )
     }
--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -8,6 +8,7 @@
 };
 
 use bytes::Bytes;
+use egret_node::limit_receive_buffer;
 use egret_policy::ConnectOutcome;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -17,6 +18,7 @@
 use crate::{
     bounded_io::{Allowance, BoundedIo},
     clock::now,
+    front::PEER_RECEIVE_BUFFER,
     memory_account::Charge,
     target::Target,
 };
@@ -131,6 +133,7 @@
     if source.is_ipv4() == target.is_ipv4() && !source.is_unspecified() {
         socket.bind(SocketAddr::new(source, 0))?;
     }
+    limit_receive_buffer(&socket, target, PEER_RECEIVE_BUFFER);
     socket.connect(target).await
 }
 
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -39,6 +39,10 @@
 /// Connections of other hosts' gossip, of readiness checks and of scrapes may each take up the host's
 /// descriptors divided by this.
 const INTERNAL_FDS_DIVISOR: usize = 16;
+/// The receive buffer of a caller's connection, in bytes. It bounds what many callers send before it is read.
+pub(crate) const CALLER_RECEIVE_BUFFER: usize = 8 << 10;
+/// The receive buffer of a connection to or from a host or a target, in bytes; most messages fit.
+pub(crate) const PEER_RECEIVE_BUFFER: usize = 16 << 10;
 /// The limit of the bodies of readiness checks and of scrapes, in bytes; they need none.
 const CHECK_BODY_BYTES_MAX: usize = 4096;
 /// The part of the grace period that is kept for the exit of the process itself, on a busy host.
@@ -99,6 +103,7 @@
         let limits = HttpLimits {
             body_bytes: core.memory.message_bytes_max(),
             connections: options.fds_max / INTERNAL_FDS_DIVISOR,
+            receive_buffer: Some(PEER_RECEIVE_BUFFER),
             ..HttpLimits::internal()
         };
         let site = GossipSite(gossip.clone());
@@ -116,15 +121,16 @@
                 move || checking.is_short_of_descriptors(),
                 move || evicting.evict_connection(Shortage::Connections),
             );
-            let callers = Listener::bind(address, limit, move |stream, closing| {
+            let callers = Listener::bind(address, CALLER_RECEIVE_BUFFER, limit, move |stream, closing| {
                 caller_connection::serve(Arc::clone(&shared), stream, closing)
             });
             let shared = Arc::clone(&core);
             // Other hosts are trusted: their connections are bounded, but none is closed for another.
             let limit = ConnectionLimit::new(options.fds_max / HOSTS_FDS_DIVISOR, || false, || false);
-            let gathers = Listener::bind(options.gathers, limit, move |stream, closing| {
-                gather_server::serve(Arc::clone(&shared), stream, closing)
-            });
+            let gathers =
+                Listener::bind(options.gathers, PEER_RECEIVE_BUFFER, limit, move |stream, closing| {
+                    gather_server::serve(Arc::clone(&shared), stream, closing)
+                });
             let error = |address| move |source| FrontError { address, source };
             (callers.map_err(error(address))?, gathers.map_err(error(options.gathers))?)
         };
--- a/crates/front/src/listener.rs
+++ b/crates/front/src/listener.rs
@@ -11,6 +11,7 @@
 };
 
 use egret_events::{Code, log_event};
+use egret_node::limit_receive_buffer;
 use socket2::TcpKeepalive;
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -48,17 +49,18 @@
 }
 
 impl Listener {
-    /// Listens on the current runtime. `serve` gets each connection, with a receiver that becomes
+    /// Listens on the current runtime; connections have a receive buffer of this many bytes. `serve` gets each connection, with a receiver that becomes
     /// `true` when the connection should end.
     pub(crate) fn bind<F>(
         address: SocketAddr,
+        receive_buffer: usize,
         limit: ConnectionLimit,
         serve: impl Fn(TcpStream, watch::Receiver<bool>) -> F + Send + 'static,
     ) -> io::Result<Self>
     where
         F: Future<Output = ()> + Send + 'static,
     {
-        let listener = listen(address)?;
+        let listener = listen(address, receive_buffer)?;
         let (closing, closed) = watch::channel(false);
         let open = Arc::new(AtomicUsize::new(0));
         let accepting = tokio::spawn(accept(listener, limit, closed, Arc::clone(&open), serve));
@@ -120,7 +122,7 @@
     )
 }
 
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+fn listen(address: SocketAddr, receive_buffer: usize) -> io::Result<TcpListener> {
     let socket = socket2::Socket::new(
         socket2::Domain::for_address(address),
         socket2::Type::STREAM,
@@ -128,6 +130,7 @@
     )?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
+    limit_receive_buffer(&socket, address, receive_buffer);
     socket.bind(&address.into())?;
     socket.listen(ACCEPT_BACKLOG)?;
     TcpListener::from_std(socket.into())
--- a/crates/front/src/metrics_site.rs
+++ b/crates/front/src/metrics_site.rs
@@ -8,6 +8,7 @@
     clock::now,
     core::Core,
     explain::{self, EXPLAIN_PATH},
+    front::CALLER_RECEIVE_BUFFER,
 };
 
 /// The path of the metrics.
@@ -64,6 +65,7 @@
             ("memory_charged_bytes", core.memory.charged() as f64),
             ("memory_limit_bytes", core.memory.limit() as f64),
             ("caller_connections", core.callers.count() as f64),
+            ("caller_receive_buffer_bytes", (core.callers.count() * CALLER_RECEIVE_BUFFER) as f64),
             ("least_budget", core.lowest_extra_attempt_budget()),
             ("log_lines_dropped", (self.dropped_lines)() as f64),
         ]
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -20,7 +20,7 @@
 };
 use tokio::{runtime::Handle, task::JoinHandle, time::timeout};
 
-use crate::{BodyError, HttpRequest, ListenError, Reply};
+use crate::{BodyError, HttpRequest, ListenError, Reply, limit_receive_buffer};
 
 const BACKLOG_CONNECTIONS: i32 = 1024;
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -38,6 +38,8 @@
     pub header_timeout: Duration,
     /// The maximum number of open connections.
     pub connections: usize,
+    /// The receive buffer of each connection, in bytes; the system's default if `None`.
+    pub receive_buffer: Option<usize>,
 }
 
 impl Default for HttpLimits {
@@ -48,6 +50,7 @@
             body_timeout: Duration::from_secs(5),
             header_timeout: Duration::from_secs(5),
             connections: 4096,
+            receive_buffer: None,
         }
     }
 }
@@ -186,7 +189,7 @@
         inner: impl HttpHandler,
     ) -> Result<Self, ListenError> {
         let error = |source| ListenError { address, source };
-        let listener = listen(address).map_err(error)?;
+        let listener = listen(address, limits.receive_buffer).map_err(error)?;
         let _guard = traffic.enter();
         let listener = tokio::net::TcpListener::from_std(listener).map_err(error)?;
         let address = listener.local_addr().map_err(error)?;
@@ -228,7 +231,7 @@
     }
 }
 
-fn listen(address: SocketAddr) -> std::io::Result<std::net::TcpListener> {
+fn listen(address: SocketAddr, receive_buffer: Option<usize>) -> std::io::Result<std::net::TcpListener> {
     let domain = socket2::Domain::for_address(address);
     let socket = socket2::Socket::new(domain, socket2::Type::STREAM, Some(socket2::Protocol::TCP))?;
     socket.set_reuse_address(true)?;
@@ -236,6 +239,9 @@
     // reply until an acknowledgement arrives.
     socket.set_tcp_nodelay(true)?;
     socket.set_nonblocking(true)?;
+    if let Some(bytes) = receive_buffer {
+        limit_receive_buffer(&socket, address, bytes);
+    }
     socket.bind(&address.into())?;
     socket.listen(BACKLOG_CONNECTIONS)?;
     Ok(socket.into())
