Admit callers' connections before they are served, and keep new ones longest

What callers saw: while a crowd opened its closed connections again, ordinary callers had theirs closed at once, and also for seconds after the crowd had gone.

Cause, read in the code: a connection took its memory while it was already served. All that waited for it evicted one connection each, every few milliseconds, and idle ones go first. A connection that was just accepted counted as idle, so that new connections evicted each other before they were read, and a connection that waited could evict itself.

Change: the listener takes descriptor and memory of one connection after the other (ConnectionPool), before it is listed or served. Once less than a sixteenth is free, each one evicts another ahead. The policy knows connections that were not read from yet (New) and those that stay silent (Silent): new ones and heads that just arrive go last, so that a crowd displaces its own older connections. An evicted connection whose caller reads no answer ends after 500 ms; it kept its room before. make_room serves requests only and loses its parameter.

--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -6,7 +6,7 @@
 };
 
 use egret_events::{Code, log_event};
-use egret_policy::{GatherLimits, Shortage, SuspectVerdict, weighted_draw};
+use egret_policy::{GatherLimits, SuspectVerdict, weighted_draw};
 use egret_routes::{Backend, Route, RouteTable};
 use hyper::{
     Request, StatusCode,
@@ -112,7 +112,7 @@
     }
     // A target must not run a request whose answer would be lost.
     let has_room = || core.memory.has_room(MemoryUse::Answers, ANSWER_ROOM_MIN);
-    if !core.make_room(Shortage::Memory, None, has_room).await {
+    if !core.make_room(None, has_room).await {
         return no_memory(&req, route);
     }
     match &route.backend {
@@ -127,7 +127,7 @@
                 parts = core.charge_parts(plan.shards.len(), &req.headers);
                 parts.is_some()
             };
-            if !core.make_room(Shortage::Memory, None, charge).await {
+            if !core.make_room(None, charge).await {
                 return no_memory(&req, route);
             }
             gather(core, route, plan, &req).await
--- a/crates/front/src/caller_body.rs
+++ b/crates/front/src/caller_body.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use egret_policy::Shortage;
 use egret_routes::CallerLimits;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -59,12 +58,12 @@
         if whole.len() + data.len() > bytes_max {
             return Err(RequestReadError::BodyTooLarge);
         }
-        if !core.make_room(Shortage::Memory, Some(activity), || whole.add(&data)).await {
+        if !core.make_room(Some(activity), || whole.add(&data)).await {
             return Err(RequestReadError::NoMemory);
         }
         activity.body_grew(whole.len(), FRAMING_FACTOR * data.len());
     }
-    if !core.make_room(Shortage::Memory, Some(activity), || whole.charge_copy()).await {
+    if !core.make_room(Some(activity), || whole.charge_copy()).await {
         return Err(RequestReadError::NoMemory);
     }
     Ok(whole.freeze())
--- a/crates/front/src/caller_connection.rs
+++ b/crates/front/src/caller_connection.rs
@@ -7,7 +7,6 @@
     time::{Duration, Instant},
 };
 
-use egret_policy::Shortage;
 use egret_routes::CallerLimits;
 use hyper::{body::Body, header::HeaderValue, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
@@ -18,18 +17,21 @@
     caller_connections::OpenConnection,
     clock::now,
     core::Core,
-    memory_account::MemoryUse,
     reply::DueAt,
     timed_io::{Activity, ActivityCell, TimedIo},
 };
 
 /// How often a connection's time limits are checked.
 const LIMITS_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// How long a connection that was evicted may take to write the answers that wait.
+const EVICTED_END_MAX: Duration = Duration::from_millis(500);
 /// The smallest buffer that the HTTP library accepts, in bytes.
 const BUFFER_BYTES_MIN: usize = 8192;
-/// What a connection needs besides the buffer of its head, in bytes: its task, its write buffer, and the
-/// parsed headers.
-const CONNECTION_BYTES: usize = 8192;
+
+/// Returns the size of the buffer that is read into, which holds a whole head, in bytes.
+pub(crate) fn read_buffer_bytes(limits: CallerLimits) -> usize {
+    limits.header_bytes.max(BUFFER_BYTES_MIN)
+}
 
 /// Serves a caller's connection until it ends, or until `closing` becomes true and it is idle.
 pub(crate) fn serve(
@@ -53,16 +55,7 @@
     _open: OpenConnection,
     mut closing: watch::Receiver<bool>,
 ) {
-    let limits = core.table.load().as_ref().map_or_else(CallerLimits::default, |table| table.limits());
-    let header_bytes_max = limits.header_bytes.max(BUFFER_BYTES_MIN);
-    let mut charge = None;
-    let charge_connection = || {
-        charge = core.connection_memory.charge(MemoryUse::Ordinary, header_bytes_max + CONNECTION_BYTES);
-        charge.is_some()
-    };
-    if !core.make_room(Shortage::Connections, Some(&activity), charge_connection).await {
-        return;
-    }
+    let limits = core.caller_limits();
     let io = TokioIo::new(TimedIo { stream, activity: activity.clone(), core: Arc::clone(&core) });
     let shared = activity.clone();
     let service = service_fn(move |req| {
@@ -78,7 +71,7 @@
         }
     });
     let connection = http1::Builder::new()
-        .max_buf_size(header_bytes_max)
+        .max_buf_size(read_buffer_bytes(limits))
         .auto_date_header(false)
         // The library's own timeout would also end idle connections.
         .header_read_timeout(None)
@@ -96,12 +89,15 @@
             }
             () = activity.evicted(), if !is_evicted => {
                 is_evicted = true;
-                match activity.get() {
-                    Activity::Header(_) => return,
-                    Activity::Idle(_) if activity.is_blocked() => return,
-                    _ => connection.as_mut().graceful_shutdown(),
+                if activity.holds_no_request() {
+                    return;
                 }
+                connection.as_mut().graceful_shutdown();
             }
+            // A caller that reads nothing would keep its connection.
+            () = tokio::time::sleep(EVICTED_END_MAX), if is_evicted => if activity.holds_no_request() {
+                return;
+            },
             () = tokio::time::sleep(LIMITS_CHECK_INTERVAL) => match overdue(activity.get(), limits) {
                 Overdue::Nothing => {}
                 Overdue::Idle => connection.as_mut().graceful_shutdown(),
--- a/crates/front/src/caller_connections.rs
+++ b/crates/front/src/caller_connections.rs
@@ -12,7 +12,9 @@
 use tokio::time::timeout;
 
 use crate::{
+    caller_connection::read_buffer_bytes,
     clock::now,
+    connection_limit::ConnectionPool,
     core::{Core, lock},
     memory_account::{Charge, MemoryUse},
     shortage_log::ShortageLog,
@@ -38,6 +40,13 @@
 const PART_HEADS: usize = 2;
 /// What the task of one part holds until the part is there, in bytes: 3,984 were measured in a debug build.
 const PART_TASK_BYTES: usize = 4 << 10;
+/// What a connection needs besides the buffer of its head, in bytes: its task, its write buffer, and the parsed
+/// headers.
+const CONNECTION_BYTES: usize = 8192;
+/// The memory of callers' connections divided by this is kept free for new ones.
+const CONNECTION_RESERVE_DIVISOR: usize = 16;
+/// So many evicted connections may be about to end before another one is evicted for a new connection.
+const ENDING_MAX: usize = 16;
 /// The minimum time between two evictions for memory. Bodies that wait for memory at the same time would evict
 /// one connection each, also where the first of them makes room for all.
 const MEMORY_EVICTION_INTERVAL: Duration = Duration::from_millis(2);
@@ -100,6 +109,12 @@
         evicted.inspect(|activity| activity.evict()).is_some()
     }
 
+    /// Returns how many evicted connections are about to end; those whose request is running are not.
+    fn ending(&self) -> usize {
+        let is_ending = |activity: &&ActivityCell| activity.is_evicted() && !activity.is_running();
+        lock(&self.open).iter().filter(is_ending).count()
+    }
+
     fn note_shortage(&self, shortage: Shortage) {
         match shortage {
             Shortage::Memory => self.memory_log.note(Code::MemoryShort, EVICTED),
@@ -148,10 +163,20 @@
             charge = self.memory.charge(MemoryUse::Parts, shards * PART_TASK_BYTES);
             charge.is_some()
         };
-        self.make_room(Shortage::Memory, None, charge_tasks).await;
+        self.make_room(None, charge_tasks).await;
         charge
     }
 
+    /// Returns the limits of callers' requests.
+    pub(crate) fn caller_limits(&self) -> CallerLimits {
+        self.table.load().as_ref().map_or_else(CallerLimits::default, |table| table.limits())
+    }
+
+    /// Returns what a caller's connection is charged, in bytes.
+    fn caller_connection_bytes(&self) -> usize {
+        read_buffer_bytes(self.caller_limits()) + CONNECTION_BYTES
+    }
+
     /// Evicts one connection to relieve a shortage.
     pub(crate) fn evict_connection(&self, shortage: Shortage) -> bool {
         let has_evicted = self.callers.evict(shortage, self.options.caller_address_percent);
@@ -162,13 +187,12 @@
         has_evicted
     }
 
-    /// Repeats `charge` until it succeeds, and evicts connections meanwhile; returns `false` if it fails
+    /// Repeats `charge` until it succeeds, and evicts large requests meanwhile; returns `false` if it fails
     /// for [`ROOM_WAIT_MAX`] or if `own` is evicted itself.
     ///
     /// Nothing is read from the connection that waits, so its peer is slowed down.
     pub(crate) async fn make_room(
         &self,
-        shortage: Shortage,
         own: Option<&ActivityCell>,
         mut charge: impl FnMut() -> bool,
     ) -> bool {
@@ -179,17 +203,35 @@
             }
             if now() >= until || own.is_some_and(ActivityCell::is_evicted) {
                 self.instruments.refusal_for_memory();
-                self.callers.note_shortage(shortage);
+                self.callers.note_shortage(Shortage::Memory);
                 return false;
             }
-            self.evict_connection(shortage);
+            self.evict_connection(Shortage::Memory);
             if own.is_some_and(ActivityCell::is_evicted) {
                 continue;
             }
             // Elapsed: a release between the attempt and this wait was missed.
-            let account =
-                if shortage == Shortage::Connections { &self.connection_memory } else { &self.memory };
-            let _ = timeout(RELEASE_WAIT, account.released()).await;
+            let _ = timeout(RELEASE_WAIT, self.memory.released()).await;
         }
     }
 }
+
+impl ConnectionPool for Arc<Core> {
+    fn charge(&self) -> Option<Charge> {
+        self.connection_memory.charge(MemoryUse::Ordinary, self.caller_connection_bytes())
+    }
+
+    fn is_nearly_full(&self) -> bool {
+        let reserve = self.connection_memory.limit() / CONNECTION_RESERVE_DIVISOR;
+        !self.connection_memory.has_room(MemoryUse::Ordinary, reserve)
+    }
+
+    fn is_short_of_descriptors(&self) -> bool {
+        Core::is_short_of_descriptors(self)
+    }
+
+    fn evict(&self) -> bool {
+        let ending = self.callers.ending();
+        ending >= ENDING_MAX || self.evict_connection(Shortage::Connections) || ending > 0
+    }
+}
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use egret_events::{Code, log_event};
-use egret_policy::{ExchangeEnd, LoadReport, Shortage};
+use egret_policy::{ExchangeEnd, LoadReport};
 use egret_routes::TopRecords;
 use http_body_util::{BodyExt, Full};
 use hyper::{
@@ -272,7 +272,7 @@
         charge = core.memory.charge(MemoryUse::Answers, bytes);
         charge.is_some()
     };
-    core.make_room(Shortage::Memory, None, charge_part).await;
+    core.make_room(None, charge_part).await;
     let receipt = HeaderValue::from_bytes(receipt.as_bytes()).ok()?;
     Some((receipt, charge?.hold(records)))
 }
@@ -299,7 +299,7 @@
         }
         match &mut records {
             Some(records) => records.add(&data),
-            None if core.make_room(Shortage::Memory, None, || whole.add(&data)).await => {}
+            None if core.make_room(None, || whole.add(&data)).await => {}
             None => return Err(LossCause::TooLarge),
         }
     }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -11,7 +11,6 @@
 use egret_events::{Code, log_event};
 use egret_members::{Member, Membership};
 use egret_node::{HttpClient, HttpLimits, HttpServer};
-use egret_policy::Shortage;
 use tokio::{runtime::Handle, task::JoinHandle};
 
 use crate::{
@@ -115,18 +114,14 @@
         let address = options.callers;
         let (callers, gathers) = {
             let _guard = traffic.enter();
-            let (shared, checking, evicting) = (Arc::clone(&core), Arc::clone(&core), Arc::clone(&core));
-            let limit = ConnectionLimit::new(
-                options.fds_max / CALLERS_FDS_DIVISOR,
-                move || checking.is_short_of_descriptors(),
-                move || evicting.evict_connection(Shortage::Connections),
-            );
+            let shared = Arc::clone(&core);
+            let limit = ConnectionLimit::evicting(options.fds_max / CALLERS_FDS_DIVISOR, Arc::clone(&core));
             let callers = Listener::bind(address, CALLER_RECEIVE_BUFFER, limit, move |stream, closing| {
                 caller_connection::serve(Arc::clone(&shared), stream, closing)
             });
             let shared = Arc::clone(&core);
             // Other hosts are trusted: their connections are bounded, but none is closed for another.
-            let limit = ConnectionLimit::new(options.fds_max / HOSTS_FDS_DIVISOR, || false, || false);
+            let limit = ConnectionLimit::new(options.fds_max / HOSTS_FDS_DIVISOR);
             let gathers =
                 Listener::bind(options.gathers, PEER_RECEIVE_BUFFER, limit, move |stream, closing| {
                     gather_server::serve(Arc::clone(&shared), stream, closing)
--- a/crates/front/src/gather_server.rs
+++ b/crates/front/src/gather_server.rs
@@ -8,7 +8,6 @@
 
 use bytes::Bytes;
 use egret_events::{Code, log_event};
-use egret_policy::Shortage;
 use egret_routes::{Backend, GatherPlan, Homes, Route, RouteTable};
 use futures_util::stream;
 use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
@@ -127,11 +126,11 @@
         if announced > MESSAGE_BYTES_MAX as u64 {
             return Err(plain_text(StatusCode::PAYLOAD_TOO_LARGE, "the message is too large\n"));
         }
-        if !core.make_room(Shortage::Memory, None, || whole.add(&data)).await {
+        if !core.make_room(None, || whole.add(&data)).await {
             return Err(no_memory());
         }
     }
-    if !core.make_room(Shortage::Memory, None, || whole.charge_copy()).await {
+    if !core.make_room(None, || whole.charge_copy()).await {
         return Err(no_memory());
     }
     Ok(whole.freeze())
--- a/crates/front/src/timed_io.rs
+++ b/crates/front/src/timed_io.rs
@@ -60,6 +60,8 @@
     began_at: Instant,
     /// Whether no request has been answered on the connection yet.
     is_first_request: bool,
+    /// Whether the connection was read from since the last answer.
+    is_read_from: bool,
     /// When the answer that is written next was due.
     due_at: Option<Instant>,
     /// Since when bytes wait to be written because the caller reads none.
@@ -89,6 +91,7 @@
             activity: Activity::Idle(at),
             began_at: at,
             is_first_request: true,
+            is_read_from: false,
             due_at: None,
             blocked_since: None,
             held_bytes: 0,
@@ -116,7 +119,9 @@
         let state = lock(&self.0.state);
         let (phase, progress_at) = match (state.activity, state.blocked_since) {
             (Activity::Idle(_), Some(since)) => (ConnectionPhase::Writing, since),
-            (Activity::Idle(since), None) => (ConnectionPhase::Idle, since),
+            (Activity::Idle(since), None) if !state.is_first_request => (ConnectionPhase::Idle, since),
+            (Activity::Idle(since), None) if state.is_read_from => (ConnectionPhase::Silent, since),
+            (Activity::Idle(since), None) => (ConnectionPhase::New, since),
             (Activity::Header(since), _) => (ConnectionPhase::Head, since),
             (Activity::Body(since), _) => (ConnectionPhase::Body, since),
             (Activity::Busy, _) => (ConnectionPhase::Running, state.began_at),
@@ -139,9 +144,20 @@
         let _ = self.0.evicted.subscribe().wait_for(|is_evicted| *is_evicted).await;
     }
 
-    /// Returns whether an answer waits because the caller reads nothing.
-    pub(crate) fn is_blocked(&self) -> bool {
-        lock(&self.0.state).blocked_since.is_some()
+    /// Returns whether a request is being answered.
+    pub(crate) fn is_running(&self) -> bool {
+        matches!(self.get(), Activity::Busy)
+    }
+
+    /// Returns whether the connection may be closed at once: no whole request is there, or its answer waits because
+    /// the caller reads nothing.
+    pub(crate) fn holds_no_request(&self) -> bool {
+        let state = lock(&self.0.state);
+        match state.activity {
+            Activity::Header(_) => true,
+            Activity::Idle(_) => state.blocked_since.is_some(),
+            Activity::Body(_) | Activity::Busy => false,
+        }
     }
 
     /// Records that a body begins to arrive, and limits the bytes that are read for it.
@@ -177,13 +193,24 @@
     pub(crate) fn answered(&self, due_at: Option<Instant>, held_bytes: usize) {
         let now = now();
         let activity = Activity::Idle(now);
-        let is_first_request = false;
-        *lock(&self.0.state) =
-            State { activity, began_at: now, is_first_request, due_at, blocked_since: None, held_bytes };
+        *lock(&self.0.state) = State {
+            activity,
+            began_at: now,
+            is_first_request: false,
+            is_read_from: false,
+            due_at,
+            blocked_since: None,
+            held_bytes,
+        };
     }
 
-    fn on_bytes_read(&self) {
+    /// Records that the connection was read from.
+    fn on_read(&self, has_received: bool) {
         let mut state = lock(&self.0.state);
+        state.is_read_from = true;
+        if !has_received {
+            return;
+        }
         if let Activity::Idle(since) = state.activity {
             let now = now();
             state.activity = Activity::Header(now);
@@ -233,9 +260,7 @@
         let before = buf.filled().len();
         let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
         let received = buf.filled().len() - before;
-        if received > 0 {
-            self.activity.on_bytes_read();
-        }
+        self.activity.on_read(received > 0);
         if !self.activity.0.allowance.consume(received) {
             buf.set_filled(before);
             return Poll::Ready(Err(io::Error::other("the body's framing is far larger than its data")));
--- a/crates/policy/src/caller_eviction.rs
+++ b/crates/policy/src/caller_eviction.rs
@@ -5,6 +5,10 @@
 /// What a caller's connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionPhase {
+    /// It was accepted and not read from yet.
+    New,
+    /// Nothing was received since it was accepted.
+    Silent,
     /// No request is in progress.
     Idle,
     /// The head of a request is arriving.
@@ -59,8 +63,12 @@
 /// bytes of their large requests; it only orders evictions. A running request is never chosen, as its target may have run it.
 ///
 /// For connections, idle ones go before all others: those of an address over its share first, then the longest idle
-/// one. Stalled requests of such an address count as idle, because its unfinished heads would otherwise displace the
-/// idle connections of all others. For memory idle connections are not chosen, as they hold little.
+/// one. Requests of such an address count as idle, because they would otherwise displace the idle connections of all
+/// others; heads that just arrive do not, and connections that were just accepted are the last of them. Silent
+/// connections of any address count as idle after a time. Connections that were just accepted, and heads that just
+/// arrive, go after all others: a crowd that opens its connections again would otherwise displace them before they are
+/// read.
+/// For memory new and idle connections are not chosen, as they hold little.
 pub fn choose_evicted<K>(
     now: Instant,
     shortage: Shortage,
@@ -74,30 +82,58 @@
     ranked.max_by_key(|(rank, _)| *rank).map(|(_, key)| key)
 }
 
+/// How readily a connection is closed for another one, in ascending order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Usefulness {
+    Arriving,
+    Busy,
+    Useless,
+}
+
 /// Returns the rank of a connection whose address holds `excess`; the greatest one is evicted.
 fn rank(
     now: Instant,
     shortage: Shortage,
     load: ConnectionLoad,
     excess: usize,
-) -> Option<(bool, u128, u128, usize)> {
+) -> Option<(Usefulness, u128, u128, usize, u128)> {
     let stalled_ms = now.saturating_duration_since(load.progress_at).as_millis();
-    let is_idle = load.phase == ConnectionPhase::Idle;
+    let is_stalled = stalled_ms >= REQUEST_STALL_MIN_MS;
+    let stall_class = u128::from((stalled_ms / STALL_UNIT_MS + 1).ilog2());
+    let excess = excess as u128;
     match load.phase {
         ConnectionPhase::Running => return None,
-        ConnectionPhase::Idle if shortage == Shortage::Memory => return None,
+        ConnectionPhase::New | ConnectionPhase::Silent | ConnectionPhase::Idle
+            if shortage == Shortage::Memory =>
+        {
+            return None;
+        }
         ConnectionPhase::Writing if stalled_ms < READ_STALL_MIN_MS => return None,
         _ => {}
     }
     match shortage {
         Shortage::Connections => {
-            let is_useless = is_idle || excess > 0 && stalled_ms >= REQUEST_STALL_MIN_MS;
-            Some((is_useless, excess as u128, stalled_ms, load.held_bytes))
+            let usefulness = match load.phase {
+                ConnectionPhase::Idle => Usefulness::Useless,
+                ConnectionPhase::Silent if is_stalled => Usefulness::Useless,
+                ConnectionPhase::Head if excess > 0 && !is_stalled => Usefulness::Arriving,
+                _ if excess > 0 => Usefulness::Useless,
+                ConnectionPhase::Body | ConnectionPhase::Writing => Usefulness::Busy,
+                _ if is_stalled => Usefulness::Busy,
+                _ => Usefulness::Arriving,
+            };
+            // How long a request has made no progress also depends on when this host last read it.
+            let stall = match (usefulness, load.phase) {
+                (_, ConnectionPhase::New) => 0,
+                (Usefulness::Useless, _) => stalled_ms.max(1),
+                _ => stall_class,
+            };
+            Some((usefulness, excess, stall, load.held_bytes, stalled_ms))
         }
         Shortage::Memory => {
             let is_large = load.held_bytes > ORDINARY_BYTES;
-            let stall_class = u128::from((stalled_ms / STALL_UNIT_MS + 1).ilog2());
-            Some((is_large, stall_class, excess as u128, load.held_bytes))
+            let usefulness = if is_large { Usefulness::Useless } else { Usefulness::Busy };
+            Some((usefulness, stall_class, excess, load.held_bytes, 0))
         }
     }
 }
--- a/crates/policy/tests/caller_eviction.rs
+++ b/crates/policy/tests/caller_eviction.rs
@@ -7,7 +7,7 @@
 
 use egret_policy::{
     ConnectionLoad,
-    ConnectionPhase::{self, Body, Head, Idle, Running, Writing},
+    ConnectionPhase::{self, Body, Head, Idle, New, Running, Silent, Writing},
     Shortage::{self, Connections, Memory},
     choose_evicted,
 };
@@ -122,3 +122,25 @@
     let connections: Vec<_> = (0..4_u8).map(|at| (at, (Idle, u64::from(at) * 10, 0))).collect();
     assert_eq!(chosen_of(Connections, &connections), Some(3));
 }
+
+/// A crowd that opens its connections again must not displace new ones before they are read, nor heads that just arrive.
+#[test]
+fn a_connection_that_was_just_accepted_is_evicted_last() {
+    let busy = [(New, 40, 0), (Body, 1, 30_000), (Head, 200, 0)];
+    assert_eq!(chosen(Connections, &busy), Some(1));
+    assert_eq!(chosen(Connections, &[(Head, 90, 0), (New, 5, 0), (New, 95, 0)]), Some(2));
+}
+
+#[test]
+fn a_connection_that_stays_silent_counts_as_idle() {
+    assert_eq!(chosen(Connections, &[(Silent, 100, 0), (Body, 5, 200)]), Some(1));
+    assert_eq!(chosen(Connections, &[(Silent, 800, 0), (Body, 5, 200)]), Some(0));
+}
+
+/// A crowd behind an address that most callers share must not displace the new connections of all of them.
+#[test]
+fn the_requests_of_the_address_with_most_connections_give_way_before_its_new_connections() {
+    let connections =
+        [(1, (New, 40, 0)), (1, (Body, 5, 9000)), (1, (Body, 10, 9000)), (2, (Idle, 60_000, 0))];
+    assert_eq!(chosen_of(Connections, &connections), Some(2));
+}
