Name the eviction classes by when a connection is evicted

Usefulness described a connection, and large requests were ranked as useless when memory was short. The classes are Last, Normal and First now.

--- a/crates/policy/src/caller_eviction.rs
+++ b/crates/policy/src/caller_eviction.rs
@@ -68,6 +68,7 @@
 /// connections of any address count as idle after a time. Connections that were just accepted, and heads that just
 /// arrive, go after all others: a crowd that opens its connections again would otherwise displace them before they are
 /// read.
+///
 /// For memory new and idle connections are not chosen, as they hold little.
 pub fn choose_evicted<K>(
     now: Instant,
@@ -82,12 +83,12 @@
     ranked.max_by_key(|(rank, _)| *rank).map(|(_, key)| key)
 }
 
-/// How readily a connection is closed for another one, in ascending order.
+/// When a connection is evicted, in ascending order of its rank.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Usefulness {
-    Arriving,
-    Busy,
-    Useless,
+enum EvictionClass {
+    Last,
+    Normal,
+    First,
 }
 
 /// Returns the rank of a connection whose address holds `excess`; the greatest one is evicted.
@@ -96,7 +97,7 @@
     shortage: Shortage,
     load: ConnectionLoad,
     excess: usize,
-) -> Option<(Usefulness, u128, u128, usize, u128)> {
+) -> Option<(EvictionClass, u128, u128, usize, u128)> {
     let stalled_ms = now.saturating_duration_since(load.progress_at).as_millis();
     let is_stalled = stalled_ms >= REQUEST_STALL_MIN_MS;
     let stall_class = u128::from((stalled_ms / STALL_UNIT_MS + 1).ilog2());
@@ -113,27 +114,27 @@
     }
     match shortage {
         Shortage::Connections => {
-            let usefulness = match load.phase {
-                ConnectionPhase::Idle => Usefulness::Useless,
-                ConnectionPhase::Silent if is_stalled => Usefulness::Useless,
-                ConnectionPhase::Head if excess > 0 && !is_stalled => Usefulness::Arriving,
-                _ if excess > 0 => Usefulness::Useless,
-                ConnectionPhase::Body | ConnectionPhase::Writing => Usefulness::Busy,
-                _ if is_stalled => Usefulness::Busy,
-                _ => Usefulness::Arriving,
+            let class = match load.phase {
+                ConnectionPhase::Idle => EvictionClass::First,
+                ConnectionPhase::Silent if is_stalled => EvictionClass::First,
+                ConnectionPhase::Head if excess > 0 && !is_stalled => EvictionClass::Last,
+                _ if excess > 0 => EvictionClass::First,
+                ConnectionPhase::Body | ConnectionPhase::Writing => EvictionClass::Normal,
+                _ if is_stalled => EvictionClass::Normal,
+                _ => EvictionClass::Last,
             };
             // How long a request has made no progress also depends on when this host last read it.
-            let stall = match (usefulness, load.phase) {
+            let stall = match (class, load.phase) {
                 (_, ConnectionPhase::New) => 0,
-                (Usefulness::Useless, _) => stalled_ms.max(1),
+                (EvictionClass::First, _) => stalled_ms.max(1),
                 _ => stall_class,
             };
-            Some((usefulness, excess, stall, load.held_bytes, stalled_ms))
+            Some((class, excess, stall, load.held_bytes, stalled_ms))
         }
         Shortage::Memory => {
             let is_large = load.held_bytes > ORDINARY_BYTES;
-            let usefulness = if is_large { Usefulness::Useless } else { Usefulness::Busy };
-            Some((usefulness, stall_class, excess, load.held_bytes, 0))
+            let class = if is_large { EvictionClass::First } else { EvictionClass::Normal };
+            Some((class, stall_class, excess, load.held_bytes, 0))
         }
     }
 }
